--- /dev/null
+++ b/src/cluster.rs
@@ -0,0 +1,606 @@
+//! What the leader knows of jobs and machines, and the steps that change it.
+//! Everything here is a plain function of state and `now`.
+//!
+//! A task is *placed* from when a start is decided until its absence is
+//! proved.  What is uncertain counts as present: a placed task is never
+//! queued, uses its team's limit and its zone, and holds its machine's room.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Instant;
+
+use serde::{Deserialize, Serialize};
+
+use crate::model::*;
+use crate::policy::Policy;
+
+/// What a placed task is doing, as far as its machine has said.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Decided; the machine has not shown it yet.
+    Ordered,
+    /// Waits for its image.
+    Pulling,
+    /// Waits for its gang.
+    Gathering,
+    /// Runs.
+    Running,
+    /// Saves.
+    Flushing,
+    /// Completed, which is not stored yet.
+    Completed,
+}
+
+/// A task that is, or may be, on a machine.
+#[derive(Debug, Clone)]
+pub struct Place {
+    /// Its job.
+    pub spec: Arc<Spec>,
+    /// The attempt.
+    pub attempt: u64,
+    /// The worker's session the start is for.
+    pub session: u64,
+    /// What it does.
+    pub phase: Phase,
+    /// The start is in the store; only then may the command leave.
+    pub stored: bool,
+    /// Order of the report whose answer last carried the start.
+    pub sent: Option<(u64, u64)>,
+    /// Stop it, with this grace.
+    pub halt: Option<f64>,
+    /// When the stop was decided.
+    pub halt_since: Option<Instant>,
+    /// Placed by an earlier leader and not yet confirmed: only a report under
+    /// this term's token says anything of its absence.
+    pub former: bool,
+    /// When it was placed, or first seen.
+    pub since: Instant,
+    /// When it was first seen running.
+    pub running_since: Option<Instant>,
+}
+
+impl Place {
+    /// Whether it takes room, quota and its zone.
+    pub fn present(&self) -> bool {
+        self.phase != Phase::Completed
+    }
+}
+
+/// What the cloud's list says of a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Stage {
+    /// Not up yet.
+    Booting,
+    /// Up.
+    Running,
+    /// Stopped on its own.
+    Failed,
+}
+
+/// An exited task that the machine still lists.
+#[derive(Debug, Clone)]
+pub struct Exited {
+    /// Its attempt.
+    pub attempt: u64,
+    /// The machine's record no longer holds it.  Reaping earlier would let a
+    /// later leader, reading the old record, take the start for undelivered.
+    pub cleared: bool,
+}
+
+/// A machine.
+#[derive(Debug, Clone)]
+pub struct Machine {
+    /// Name.
+    pub name: Name,
+    /// Type.
+    pub kind: Name,
+    /// Zone.
+    pub zone: Name,
+    /// Spot or ordinary.
+    pub spot: bool,
+    /// What it offers when empty; nothing while its type is unknown.
+    pub size: Size,
+    /// The worker's session, 0 before its first report in this term.
+    pub session: u64,
+    /// Number of the newest report.
+    pub tally: u64,
+    /// Highest token it has seen.
+    pub token: u64,
+    /// Its newest report in this term.
+    pub heard: Option<Instant>,
+    /// When the cloud takes it away.
+    pub notice: Option<Instant>,
+    /// What is, or may be, on it.
+    pub tasks: BTreeMap<Task, Place>,
+    /// Exited tasks to be reaped.
+    pub exited: BTreeMap<Task, Exited>,
+    /// As listed.
+    pub stage: Option<Stage>,
+    /// When it was last seen in a list, and when first known.
+    pub listed: Option<Instant>,
+    /// When this leader first knew of it.
+    pub known: Instant,
+    /// When it was rented, as far as known.
+    pub rented: Instant,
+    /// Stamp of its record, 0 for none.
+    pub stamp: u64,
+    /// Its record has to be written.
+    pub dirty: bool,
+    /// Nothing more is placed here, and why.
+    pub drain: Option<&'static str>,
+    /// A deletion was sent: it may vanish at any time from now.
+    pub deleting: Option<Instant>,
+    /// Since when it has been empty.
+    pub idle: Option<Instant>,
+    /// Images it holds, the most recently used last.
+    pub images: Vec<(Name, f64)>,
+    /// Jobs that failed here and nowhere else.
+    pub blamed: BTreeSet<Name>,
+    /// Not used before this, after a failure.
+    pub rest_until: Option<Instant>,
+    /// Its speed, as observed, and by how many tasks.
+    pub speed: f64,
+    /// Tasks observed.
+    pub samples: u32,
+    /// Proved to be gone.  The entry stays for a while, so that a report
+    /// delivered late does not bring the machine back.
+    pub gone: Option<Instant>,
+}
+
+impl Machine {
+    /// A machine of which little is known.
+    pub fn new(name: Name, kind: Name, zone: Name, spot: bool, now: Instant) -> Machine {
+        Machine {
+            name,
+            kind,
+            zone,
+            spot,
+            size: Size::default(),
+            session: 0,
+            tally: 0,
+            token: 0,
+            heard: None,
+            notice: None,
+            tasks: BTreeMap::new(),
+            exited: BTreeMap::new(),
+            stage: None,
+            listed: None,
+            known: now,
+            rented: now,
+            stamp: 0,
+            dirty: false,
+            drain: None,
+            deleting: None,
+            idle: Some(now),
+            images: Vec::new(),
+            blamed: BTreeSet::new(),
+            rest_until: None,
+            speed: 1.0,
+            samples: 0,
+            gone: None,
+        }
+    }
+
+    /// Room left, with all that may be present counted.
+    pub fn free(&self) -> Size {
+        let mut free = self.size;
+        for p in self.tasks.values().filter(|p| p.present()) {
+            free.take(&p.spec.size());
+        }
+        free
+    }
+
+    /// Whether tasks may be placed here now.
+    pub fn usable(&self, now: Instant, policy: &Policy) -> bool {
+        self.session > 0
+            && self.gone.is_none()
+            && self.drain.is_none()
+            && self.deleting.is_none()
+            && self.notice.is_none()
+            && self.stage != Some(Stage::Failed)
+            && self.heard.is_some_and(|t| now.duration_since(t) < policy.fresh)
+            && self.rest_until.is_none_or(|t| t <= now)
+            && self.tasks.len() + self.exited.len() < policy.most_tasks
+    }
+
+    /// Whether it holds an image.
+    pub fn has_image(&self, image: &str) -> bool {
+        self.images.iter().any(|(n, _)| &**n == image)
+    }
+
+    /// An image was used: it becomes the most recent, the oldest make room.
+    pub fn use_image(&mut self, image: &Name, gb: f64, cache_gb: f64) {
+        self.images.retain(|(n, _)| n != image);
+        self.images.push((image.clone(), gb));
+        while self.images.len() > 1 && self.images.iter().map(|i| i.1).sum::<f64>() > cache_gb {
+            self.images.remove(0);
+        }
+    }
+}
+
+/// A job with what the leader knows of its tasks.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// The submission.
+    pub spec: Arc<Spec>,
+    /// Stamp of the record: the order of arrival.
+    pub stamp: u64,
+    /// Its end.
+    pub fate: Option<Fate>,
+    /// Completed and stored.
+    pub done: Ranges,
+    /// Completed, not stored yet.
+    pub finishing: Ranges,
+    /// Neither done nor placed.
+    pub todo: Ranges,
+    /// Where its tasks may be; mostly one machine a task.
+    pub places: BTreeMap<u32, Vec<Name>>,
+    /// Attempt of the gang.
+    pub attempt: u64,
+    /// Stamps of its chunks of completed tasks.
+    pub chunks: HashMap<u32, u64>,
+    /// Chunks to be written.
+    pub dirty_chunks: BTreeSet<u32>,
+    /// Machines where a task of it failed.
+    pub failed_on: BTreeSet<Name>,
+    /// Failures in a row.
+    pub failures: u32,
+    /// Not placed before this.
+    pub wait_until: Option<Instant>,
+    /// When this leader first knew of it.
+    pub known: Instant,
+    /// Why it waits, for people.
+    pub why: &'static str,
+}
+
+/// Tasks of one chunk of the stored ranges; a chunk whose every second task
+/// is done stays below the service's limit for a value.
+pub const CHUNK: u32 = 1024;
+
+impl Job {
+    /// A job nothing of which has run.
+    pub fn new(spec: Arc<Spec>, stamp: u64, fate: Option<Fate>, now: Instant) -> Job {
+        let todo = if fate.is_some() { Ranges::default() } else { Ranges::span(0, spec.tasks) };
+        Job {
+            spec,
+            stamp,
+            fate,
+            done: Ranges::default(),
+            finishing: Ranges::default(),
+            todo,
+            places: BTreeMap::new(),
+            attempt: 0,
+            chunks: HashMap::new(),
+            dirty_chunks: BTreeSet::new(),
+            failed_on: BTreeSet::new(),
+            failures: 0,
+            wait_until: None,
+            known: now,
+            why: "",
+        }
+    }
+
+    /// All its tasks completed, but its end is not stored.
+    pub fn completing(&self) -> bool {
+        self.fate.is_none()
+            && self.spec.shape != Shape::Service
+            && self.done.len() + self.finishing.len() >= self.spec.tasks
+    }
+
+    /// Its tasks that are or may be somewhere, with their machines.
+    pub fn placed(&self) -> Vec<(Name, Task)> {
+        let task = |i: &u32| Task { job: self.spec.id.clone(), index: *i };
+        self.places.iter().flat_map(|(i, l)| l.iter().map(move |m| (m.clone(), task(i)))).collect()
+    }
+
+    /// Puts a task back into the queue if nothing keeps it from there.
+    pub fn requeue(&mut self, index: u32) {
+        if self.fate.is_none()
+            && index < self.spec.tasks
+            && !self.places.contains_key(&index)
+            && !self.done.contains(index)
+            && !self.finishing.contains(index)
+        {
+            self.todo.insert(index);
+        }
+    }
+}
+
+/// The record of a machine: what may be on it.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub struct MachineRecord {
+    /// Type.
+    pub kind: Name,
+    /// Zone.
+    pub zone: Name,
+    /// Spot or ordinary.
+    pub spot: bool,
+    /// Task, attempt, session.
+    pub tasks: Vec<(Task, u64, u64)>,
+}
+
+/// Everything a leader knows.
+#[derive(Debug)]
+pub struct Cluster {
+    /// The term; it makes tokens, attempts and charters unique.
+    pub term: u64,
+    next_attempt: u64,
+    /// Jobs that are not over, or still have tasks somewhere.
+    pub jobs: HashMap<Name, Job>,
+    /// Machines.
+    pub machines: BTreeMap<Name, Machine>,
+    /// Machine types.
+    pub types: BTreeMap<Name, MachineType>,
+    /// The policy.
+    pub policy: Arc<Policy>,
+    /// Teams' limits.
+    pub teams: HashMap<Name, TeamLimit>,
+    /// When this leader began.
+    pub began: Instant,
+    /// Rentals and what comes of them.
+    pub fleet: crate::fleet::Fleet,
+    /// Ratio of run time to estimate, by class.
+    pub bias: HashMap<Name, f64>,
+    /// Something changed that placement should look at.
+    pub stir: bool,
+}
+
+/// Guarantee and limit of a team.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct TeamLimit {
+    /// Guaranteed.
+    pub guarantee: Size,
+    /// Most at any time, 0 for no limit.
+    pub most: Size,
+}
+
+impl TeamLimit {
+    /// Whether `used` more `size` stays within the limit.
+    pub fn allows(&self, used: &Size, size: &Size) -> bool {
+        let ok = |most: f64, used: f64, add: f64| most <= 0.0 || used + add <= most + 1e-6;
+        ok(self.most.cpus, used.cpus, size.cpus) && ok(self.most.gpus, used.gpus, size.gpus)
+    }
+}
+
+/// Term in the high bits of tokens and attempts.
+const TERM_SHIFT: u32 = 24;
+
+impl Cluster {
+    /// The state of a new leader, before it has read anything.
+    pub fn new(term: u64, policy: Arc<Policy>, teams: HashMap<Name, TeamLimit>, now: Instant) -> Cluster {
+        Cluster {
+            term,
+            next_attempt: 0,
+            jobs: HashMap::new(),
+            machines: BTreeMap::new(),
+            types: BTreeMap::new(),
+            policy,
+            teams,
+            began: now,
+            fleet: crate::fleet::Fleet::default(),
+            bias: HashMap::new(),
+            stir: true,
+        }
+    }
+
+    /// The token of this term.
+    pub fn token(&self) -> u64 {
+        self.term << TERM_SHIFT
+    }
+
+    /// An attempt number that no leader has ever given: the term is new with
+    /// every leader, the counter with every attempt.
+    pub fn new_attempt(&mut self) -> u64 {
+        self.next_attempt += 1;
+        (self.term << TERM_SHIFT) + self.next_attempt
+    }
+
+    /// A job as the store has it.
+    pub fn add_job(&mut self, spec: Arc<Spec>, stamp: u64, fate: Option<Fate>, now: Instant) {
+        if !self.jobs.contains_key(&spec.id) {
+            self.jobs.insert(spec.id.clone(), Job::new(spec, stamp, fate, now));
+            self.stir = true;
+        }
+    }
+
+    /// A stored chunk of completed tasks, read by a new leader.
+    pub fn add_done(&mut self, job: &str, chunk: u32, stamp: u64, ranges: &Ranges) {
+        let Some(j) = self.jobs.get_mut(job) else { return };
+        j.chunks.insert(chunk, stamp);
+        for n in ranges.iter().filter(|n| *n < j.spec.tasks) {
+            j.done.insert(n);
+            j.todo.remove(n);
+        }
+    }
+
+    /// A stored machine record, read by a new leader: all of it is uncertain.
+    pub fn add_record(&mut self, name: &Name, stamp: u64, r: &MachineRecord, now: Instant) {
+        let m = self
+            .machines
+            .entry(name.clone())
+            .or_insert_with(|| Machine::new(name.clone(), r.kind.clone(), r.zone.clone(), r.spot, now));
+        m.stamp = stamp;
+        if let Some(t) = self.types.get(&r.kind) {
+            m.size = t.size();
+        }
+        for (task, attempt, session) in &r.tasks {
+            let Some(job) = self.jobs.get_mut(&task.job) else {
+                log::error!("record of {name} names {task}, whose job is unknown");
+                continue;
+            };
+            let place = Place {
+                spec: job.spec.clone(),
+                attempt: *attempt,
+                session: *session,
+                phase: Phase::Ordered,
+                stored: true,
+                sent: None,
+                halt: None,
+                halt_since: None,
+                former: true,
+                since: now,
+                running_since: None,
+            };
+            job.todo.remove(task.index);
+            job.places.entry(task.index).or_default().push(name.clone());
+            if job.spec.shape == Shape::Gang {
+                job.attempt = job.attempt.max(*attempt);
+            }
+            m.tasks.insert(task.clone(), place);
+            m.idle = None;
+        }
+    }
+
+    /// Decides a start.  The command leaves only after the record is stored.
+    pub fn assign(&mut self, task: &Task, machine: &Name, attempt: u64, now: Instant) -> bool {
+        let (Some(job), Some(m)) = (self.jobs.get_mut(&task.job), self.machines.get_mut(machine)) else {
+            return false;
+        };
+        if job.fate.is_some() || !job.todo.remove(task.index) {
+            return false;
+        }
+        job.places.entry(task.index).or_default().push(machine.clone());
+        m.tasks.insert(
+            task.clone(),
+            Place {
+                spec: job.spec.clone(),
+                attempt,
+                session: m.session,
+                phase: Phase::Ordered,
+                stored: false,
+                sent: None,
+                halt: None,
+                halt_since: None,
+                former: false,
+                since: now,
+                running_since: None,
+            },
+        );
+        m.dirty = true;
+        m.idle = None;
+        true
+    }
+
+    /// A placed task is proved to be off its machine.
+    pub fn vacate(&mut self, machine: &Name, task: &Task, now: Instant) {
+        let Some(m) = self.machines.get_mut(machine) else { return };
+        if m.tasks.remove(task).is_none() {
+            return;
+        }
+        m.dirty = true;
+        if m.tasks.is_empty() {
+            m.idle = Some(now);
+        }
+        self.stir = true;
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        if let Some(list) = job.places.get_mut(&task.index) {
+            list.retain(|n| n != machine);
+            if list.is_empty() {
+                job.places.remove(&task.index);
+            }
+        }
+        job.requeue(task.index);
+    }
+
+    /// Everything on a machine is proved to be gone.
+    pub fn vacate_all(&mut self, machine: &Name, now: Instant) {
+        let Some(m) = self.machines.get(machine) else { return };
+        for task in m.tasks.keys().cloned().collect::<Vec<_>>() {
+            self.vacate(machine, &task, now);
+        }
+    }
+
+    /// A task has completed; the store has still to learn of it.  A gang's
+    /// tasks complete together.
+    pub fn complete(&mut self, task: &Task, now: Instant) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        if job.fate.is_some() || job.spec.shape == Shape::Service || task.index >= job.spec.tasks {
+            return;
+        }
+        let all = if job.spec.shape == Shape::Gang { 0..job.spec.tasks } else { task.index..task.index + 1 };
+        for n in all {
+            if !job.done.contains(n) && job.finishing.insert(n) {
+                job.todo.remove(n);
+                job.dirty_chunks.insert(n / CHUNK);
+            }
+        }
+        job.failures = 0;
+        job.wait_until = None;
+        // a copy that may be elsewhere is of no use any more
+        self.stop_surplus(&task.job.clone(), now);
+    }
+
+    fn stop_surplus(&mut self, id: &Name, now: Instant) {
+        let Some(job) = self.jobs.get(id) else { return };
+        // tasks of a completed gang end by themselves at the same moment
+        if job.spec.shape == Shape::Gang {
+            return;
+        }
+        let mut stops = job.placed();
+        stops.retain(|(_, t)| job.done.contains(t.index) || job.finishing.contains(t.index));
+        for (m, t) in stops {
+            self.halt(&m, &t, 0.0, now);
+        }
+    }
+
+    /// A job's end, as the store has it.
+    pub fn set_fate(&mut self, id: &str, fate: Fate, now: Instant) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if job.fate.is_some() {
+            return;
+        }
+        job.fate = Some(fate);
+        job.todo = Ranges::default();
+        job.finishing = Ranges::default();
+        job.dirty_chunks.clear();
+        self.stir = true;
+        for (m, t) in job.placed() {
+            let unsent = self
+                .machines
+                .get(&m)
+                .and_then(|m| m.tasks.get(&t))
+                .is_some_and(|p| p.sent.is_none() && !p.former && p.phase == Phase::Ordered);
+            if unsent {
+                // its command never left
+                self.vacate(&m, &t, now);
+            } else {
+                self.halt(&m, &t, 0.0, now);
+            }
+        }
+    }
+
+    /// Decides a stop; it is repeated until the task is gone.
+    pub fn halt(&mut self, machine: &Name, task: &Task, grace: f64, now: Instant) {
+        let Some(p) = self.machines.get_mut(machine).and_then(|m| m.tasks.get_mut(task)) else { return };
+        if p.phase == Phase::Completed {
+            return;
+        }
+        p.halt = Some(p.halt.map_or(grace, |g| g.min(grace)));
+        p.halt_since.get_or_insert(now);
+    }
+
+    /// What each team may be using now.
+    pub fn usage(&self) -> HashMap<Name, Size> {
+        let mut used: HashMap<Name, Size> = HashMap::new();
+        for p in self.machines.values().flat_map(|m| m.tasks.values()).filter(|p| p.present()) {
+            used.entry(p.spec.team.clone()).or_default().give(&p.spec.size());
+        }
+        used
+    }
+
+    /// Forgets jobs that are over and nowhere any more, and machines long
+    /// gone whose record is gone too.
+    pub fn tidy(&mut self, now: Instant) {
+        let keep = self.policy.tombstone;
+        self.machines.retain(|_, m| m.dirty || m.stamp > 0 || m.gone.is_none_or(|t| now.duration_since(t) < keep));
+        self.jobs.retain(|_, j| j.fate.is_none() || !j.places.is_empty());
+    }
+
+    /// Jobs in the order of the queue: by rank, then as they arrived.
+    pub fn queue(&self) -> Vec<Name> {
+        let mut q: Vec<&Job> = self.jobs.values().filter(|j| j.fate.is_none() && !j.todo.is_empty()).collect();
+        q.sort_by(|a, b| (a.spec.rank, a.stamp, &a.spec.id).cmp(&(b.spec.rank, b.stamp, &b.spec.id)));
+        q.into_iter().map(|j| j.spec.id.clone()).collect()
+    }
+}
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,332 @@
+//! The cloud: what to rent and what to return, decided as a plain function of
+//! what is known; the driver carries it out.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::cluster::{Cluster, Machine, Stage};
+use crate::model::*;
+use crate::placement::{zone_ok, Want};
+
+/// A kind of machine in a zone.
+pub type Pool = (Name, Name, bool);
+
+/// A rental to ask for.  Its charter is used for nothing else, ever.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Rental {
+    /// Name of the request.
+    pub charter: Name,
+    /// Type.
+    #[serde(rename = "hull")]
+    pub kind: Name,
+    /// Zone.
+    #[serde(rename = "bay")]
+    pub zone: Name,
+    /// Spot or ordinary.
+    #[serde(rename = "driftwood")]
+    pub spot: bool,
+    /// How many.
+    pub count: u32,
+}
+
+/// A machine as listed.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Listed {
+    /// Name.
+    #[serde(rename = "nameId")]
+    pub name: Name,
+    /// Type.
+    #[serde(rename = "hull")]
+    pub kind: Name,
+    /// Zone.
+    #[serde(rename = "bay")]
+    pub zone: Name,
+    /// Spot or ordinary.
+    #[serde(rename = "driftwood")]
+    pub spot: bool,
+    /// State.
+    pub stage: Stage,
+    /// Time since its rental.
+    #[serde(rename = "heldS", default)]
+    pub held_s: f64,
+}
+
+/// What the leader remembers of its dealings with the cloud.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    next_charter: u64,
+    /// Pools without capacity, and until when they are not asked.
+    pub resting: HashMap<Pool, Instant>,
+    /// Rentals under way or in doubt; in doubt they are asked again under the
+    /// same charter.
+    pub open: Vec<Rental>,
+    /// When the last whole list arrived.
+    pub listed: Option<Instant>,
+}
+
+/// Most names in one deletion.
+const MOST_DELETES: usize = 100;
+/// Most machines in one rental.
+const MOST_RENTED: u32 = 50;
+
+/// What to do now.
+#[derive(Debug, Default)]
+pub struct Plan {
+    /// Machines to delete.
+    pub delete: Vec<Name>,
+    /// Rentals to ask for.
+    pub rent: Vec<Rental>,
+}
+
+impl Cluster {
+    /// Types as the cloud gives them.
+    pub fn set_types(&mut self, types: &[MachineType]) {
+        for t in types {
+            self.types.insert(t.name.clone(), t.clone());
+        }
+        for m in self.machines.values_mut() {
+            if let Some(t) = self.types.get(&m.kind) {
+                m.size = t.size();
+            }
+        }
+        self.stir = true;
+    }
+
+    /// A whole list of the cloud's.  Absence from it proves nothing: lists
+    /// lag and go backwards.
+    pub fn list(&mut self, list: &[Listed], now: Instant) {
+        for l in list {
+            let types = &self.types;
+            let new = !self.machines.contains_key(&l.name);
+            let m = self.machines.entry(l.name.clone()).or_insert_with(|| {
+                let mut m = Machine::new(l.name.clone(), l.kind.clone(), l.zone.clone(), l.spot, now);
+                m.size = types.get(&l.kind).map(|t| t.size()).unwrap_or_default();
+                m
+            });
+            if new {
+                log::info!("machine {} is listed: {} in {}, spot {}, {:?}", l.name, l.kind, l.zone, l.spot, l.stage);
+                let held = Duration::from_secs_f64(l.held_s.clamp(0.0, 1e6));
+                m.rented = now.checked_sub(held).unwrap_or(now);
+            }
+            m.listed = Some(now);
+            if m.stage != Some(Stage::Failed) {
+                m.stage = Some(l.stage);
+            }
+        }
+        self.fleet.listed = Some(now);
+    }
+
+    /// Names the cloud rented to us.
+    pub fn rented(&mut self, r: &Rental, names: &[Name], now: Instant) {
+        self.fleet.open.retain(|o| o.charter != r.charter);
+        log::info!("rented {} of {} {} in {}, spot {}: {names:?}", names.len(), r.count, r.kind, r.zone, r.spot);
+        if (names.len() as u32) < r.count {
+            self.no_capacity(&(r.kind.clone(), r.zone.clone(), r.spot), now);
+        }
+        for n in names {
+            let size = self.types.get(&r.kind).map(|t| t.size()).unwrap_or_default();
+            let m = self
+                .machines
+                .entry(n.clone())
+                .or_insert_with(|| Machine::new(n.clone(), r.kind.clone(), r.zone.clone(), r.spot, now));
+            m.size = size;
+        }
+    }
+
+    /// The cloud has none of these.
+    pub fn no_capacity(&mut self, pool: &Pool, now: Instant) {
+        self.fleet.resting.insert(pool.clone(), now + self.policy.capacity_rest);
+    }
+
+    /// The cloud's 200 to a deletion: the machines and all on them are gone.
+    pub fn deleted(&mut self, names: &[Name], now: Instant) {
+        for n in names {
+            self.vacate_all(n, now);
+            if let Some(m) = self.machines.get_mut(n) {
+                log::info!("machine {n} is gone");
+                m.gone.get_or_insert(now);
+                m.exited.clear();
+                m.dirty = true;
+            }
+        }
+        self.stir = true;
+    }
+
+    /// What to rent and what to return.  Also stops what has to leave its
+    /// machine.
+    pub fn plan(&mut self, wants: &[Want], now: Instant) -> Plan {
+        let mut plan = Plan::default();
+        self.returns(&mut plan, now);
+        self.rentals(wants, &mut plan, now);
+        plan
+    }
+
+    fn returns(&mut self, plan: &mut Plan, now: Instant) {
+        let policy = self.policy.clone();
+        let began = self.began;
+        let quiet = |m: &Machine| now.duration_since(m.heard.unwrap_or(began.max(m.known)));
+        let up = |m: &&Machine| {
+            m.gone.is_none() && (m.heard.is_some() || m.stage == Some(Stage::Running) || !m.tasks.is_empty())
+        };
+        let total = self.machines.values().filter(up).count();
+        let silent = self.machines.values().filter(up).filter(|m| quiet(m) > policy.silent).count();
+        // many at once: that is the network, and they may well be working
+        let mass = silent > 2 && silent as f64 > total as f64 * policy.silent_share;
+        let listed = self.fleet.listed;
+        let mut moves: Vec<(Name, Task)> = Vec::new();
+        for m in self.machines.values_mut().filter(|m| m.gone.is_none()) {
+            let silence = now.duration_since(m.heard.unwrap_or(began.max(m.known)));
+            // it was listed, and newer lists lack it: probably gone
+            let unlisted = m.listed.zip(listed).is_some_and(|(m, l)| l.duration_since(m) > policy.list_lag * 2)
+                || m.listed.is_none() && now.duration_since(m.known) > policy.list_lag * 4 && listed.is_some();
+            let boot_s = self.types.get(&m.kind).map_or(60.0, |t| t.boot_s);
+            let boot_limit = Duration::from_secs_f64(boot_s * policy.boot_factor);
+            let reason = if m.deleting.is_some() {
+                // a deletion may be carried out at any time now
+                Some("is being returned")
+            } else if m.stage == Some(Stage::Failed) {
+                Some("has failed")
+            } else if unlisted && silence > policy.fresh {
+                Some("is silent and not listed")
+            } else if m.heard.is_none() && m.stage != Some(Stage::Running) && m.tasks.is_empty() {
+                (now.duration_since(m.rented) > boot_limit).then_some("does not come up")
+            } else if silence > policy.silent && !mass {
+                Some("is silent")
+            } else if m.drain.is_some() && m.tasks.is_empty() {
+                m.drain
+            } else if m.idle.is_some_and(|t| now.duration_since(t) > policy.idle)
+                && m.tasks.is_empty()
+                && m.heard.is_some()
+                && now.duration_since(m.rented) > policy.idle
+            {
+                Some("is idle")
+            } else if m.tasks.values().any(|p| {
+                // stops of a cancelled job are pursued to the end
+                let over = self.jobs.get(&p.spec.id).is_none_or(|j| j.fate == Some(Fate::Cancelled));
+                let late = policy.cancel.mul_f64(0.45);
+                over && p.present() && p.halt_since.is_some_and(|t| now.duration_since(t) > late)
+            }) {
+                Some("keeps tasks of a cancelled job")
+            } else {
+                None
+            };
+            if let Some(why) = reason {
+                if m.deleting.is_none() {
+                    log::info!("machine {} {why}: returned, with {} tasks", m.name, m.tasks.len());
+                }
+                if plan.delete.len() < MOST_DELETES {
+                    m.deleting.get_or_insert(now);
+                    plan.delete.push(m.name.clone());
+                }
+            } else if m.drain.is_some() || m.notice.is_some() {
+                let stay = |p: &crate::cluster::Place| {
+                    // without checkpoints a stop only loses: it may finish yet
+                    m.drain.is_none() && p.spec.checkpoint_s == 0.0 && p.spec.shape == Shape::Array
+                };
+                moves.extend(
+                    m.tasks
+                        .iter()
+                        .filter(|(_, p)| p.present() && p.halt.is_none() && !stay(p))
+                        .map(|(t, _)| (m.name.clone(), t.clone())),
+                );
+            }
+        }
+        for (m, t) in moves {
+            self.stop_to_move(&m, &t, now);
+        }
+    }
+
+    fn rentals(&mut self, wants: &[Want], plan: &mut Plan, now: Instant) {
+        let policy = self.policy.clone();
+        // machines on their way count before new ones are asked for; a new
+        // leader first has to learn what its forerunner rented
+        let Some(_) = self.fleet.listed else { return };
+        if self.term > 1 && now.duration_since(self.began) < policy.list_lag * 2 {
+            return;
+        }
+        plan.rent.extend(self.fleet.open.iter().cloned());
+        let mut coming: Vec<(Pool, Size)> = self
+            .machines
+            .values()
+            .filter(|m| m.gone.is_none() && m.heard.is_none() && m.deleting.is_none() && m.tasks.is_empty())
+            .map(|m| ((m.kind.clone(), m.zone.clone(), m.spot), m.size))
+            .collect();
+        for r in &self.fleet.open {
+            let Some(t) = self.types.get(&r.kind) else { continue };
+            coming.extend((0..r.count).map(|_| ((r.kind.clone(), r.zone.clone(), r.spot), t.size())));
+        }
+        let mut per_zone: HashMap<Name, usize> = HashMap::new();
+        for m in self.machines.values().filter(|m| m.gone.is_none()) {
+            *per_zone.entry(m.zone.clone()).or_default() += 1;
+        }
+        // arrays share what already runs arrays: only the work that these
+        // places cannot get through in time asks for more
+        let mut array_places = self
+            .machines
+            .values()
+            .flat_map(|m| m.tasks.values())
+            .filter(|p| p.present() && p.spec.shape == Shape::Array && p.halt.is_none())
+            .count() as f64;
+        let mut new: BTreeMap<Pool, u32> = BTreeMap::new();
+        for w in wants {
+            let spec = &w.spec;
+            let size = spec.size();
+            let mut count = w.count;
+            if spec.shape == Shape::Array {
+                let bias = self.bias.get(&spec.class).copied().unwrap_or(1.0);
+                let each = (spec.estimate_s * bias).max(1.0);
+                let slots = f64::from(w.count) * (each / policy.horizon_s).min(1.0);
+                let served = array_places.min(slots);
+                array_places -= served;
+                count = (slots - served).ceil() as u32;
+            }
+            let mut zones = w.zones.clone();
+            for _ in 0..count {
+                let fits =
+                    |p: &Pool, zones: &BTreeMap<Name, u32>| spec.allows(&p.0, &p.1, p.2) && zone_ok(spec, &p.1, zones);
+                if let Some((p, free)) = coming.iter_mut().find(|(p, free)| free.holds(&size) && fits(p, &zones)) {
+                    free.take(&size);
+                    *zones.entry(p.1.clone()).or_insert(0) += 1;
+                    continue;
+                }
+                let mut best: Option<(f64, usize, Pool, Size)> = None;
+                for t in self.types.values().filter(|t| t.size().holds(&size)) {
+                    for zone in &t.zones {
+                        for spot in [true, false] {
+                            let pool = (t.name.clone(), zone.clone(), spot);
+                            if !fits(&pool, &zones)
+                                || spot && spec.shape == Shape::Service
+                                || self.fleet.resting.get(&pool).is_some_and(|r| *r > now)
+                            {
+                                continue;
+                            }
+                            // the whole machine where the rest of the job
+                            // fills it, else the share the task takes
+                            let n = t.size().count(&size, 1000).max(1) as f64;
+                            let cost = if spot { t.spot_price } else { t.price } / n;
+                            let here = per_zone.get(zone).copied().unwrap_or(0);
+                            if best.as_ref().is_none_or(|b| (cost, here) < (b.0, b.1)) {
+                                best = Some((cost, here, pool, t.size()));
+                            }
+                        }
+                    }
+                }
+                let Some((_, _, pool, mut free)) = best else { break };
+                free.take(&size);
+                *zones.entry(pool.1.clone()).or_insert(0) += 1;
+                *per_zone.entry(pool.1.clone()).or_default() += 1;
+                *new.entry(pool.clone()).or_insert(0) += 1;
+                coming.push((pool, free));
+            }
+        }
+        for ((kind, zone, spot), count) in new {
+            self.fleet.next_charter += 1;
+            let charter = format!("c-{}-{}", self.term, self.fleet.next_charter).into();
+            let r = Rental { charter, kind, zone, spot, count: count.min(MOST_RENTED) };
+            self.fleet.open.push(r.clone());
+            plan.rent.push(r);
+        }
+    }
+}
--- /dev/null
+++ b/src/intake.rs
@@ -0,0 +1,408 @@
+//! Users: submissions, queries, withdrawals, health; and the workers' reports
+//! on their way to the leader's state.
+//!
+//! "Accepted", "done" and "cancelled" are said only after the commit.  "Not
+//! over" is said only after the store has confirmed that no end is stored,
+//! many queries in one comparison: no controller ever gives an older answer.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::commit::FateRecord;
+use crate::http::{self, Request, Response};
+use crate::model::*;
+use crate::node::{timed, Node};
+use crate::store::{key, read_value, Error, Outcome, Txn, Write};
+use crate::workers::Report;
+
+/// A job's state as users see it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobState {
+    /// Job.
+    #[serde(rename = "nameId")]
+    pub id: Name,
+    /// `pending`, `running`, `done` or `cancelled`.
+    pub stage: String,
+    /// Completed tasks, for display.
+    pub done: u32,
+    /// Running tasks, for display.
+    pub running: u32,
+}
+
+#[derive(Serialize)]
+struct Redirect<'a> {
+    #[serde(rename = "answerTo")]
+    answer_to: Option<&'a str>,
+}
+
+type Reply<T> = smol::channel::Sender<T>;
+type Queue<T> = (smol::channel::Sender<T>, smol::channel::Receiver<T>);
+
+/// What the store said of a submission.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Accepted {
+    New,
+    Before,
+    Unknown,
+}
+
+/// Users' requests on their way to the store, gathered into transactions.
+pub struct Intake {
+    submissions: Queue<(Arc<Spec>, Reply<Accepted>)>,
+    checks: Queue<(Name, Reply<Option<Option<Fate>>>)>,
+}
+
+/// Requests that may wait for the store at once; more are refused.
+const MOST_WAITING: usize = 512;
+
+impl Default for Intake {
+    fn default() -> Self {
+        Intake { submissions: smol::channel::bounded(MOST_WAITING), checks: smol::channel::bounded(MOST_WAITING) }
+    }
+}
+
+/// A user waits 5 s for a submission; an answer after this is none.
+const SUBMIT_LIMIT: Duration = Duration::from_millis(4000);
+/// A user waits 2 s for a query.
+const QUERY_LIMIT: Duration = Duration::from_millis(1700);
+
+impl Node {
+    /// Answers one request.
+    pub async fn handle(self: Arc<Self>, r: Request) -> Response {
+        let id = r.path.strip_prefix("/v2/runs/");
+        match (r.method.as_str(), r.path.as_str()) {
+            ("GET", "/healthz") => self.health(),
+            ("POST", "/hello") => self.hello(&r.body),
+            ("POST", "/v2/runs") => self.submit(&r.body).await,
+            (_, "/healthz" | "/hello" | "/v2/runs") => Response::refuse(405, "wrong method"),
+            (method, _) => match id {
+                Some(rest) => match (method, rest.strip_suffix("/withdraw")) {
+                    ("POST", Some(id)) if !id.contains('/') => self.withdraw(id).await,
+                    ("GET", None) if !rest.contains('/') => self.query(rest).await,
+                    (_, Some(id)) if !id.contains('/') => Response::refuse(405, "wrong method"),
+                    (_, None) if !rest.contains('/') && !rest.is_empty() => Response::refuse(405, "wrong method"),
+                    _ => Response::refuse(404, "no such path"),
+                },
+                None => Response::refuse(404, "no such path"),
+            },
+        }
+    }
+
+    fn health(&self) -> Response {
+        let ready = {
+            let i = self.lock();
+            i.synced && !i.types.is_empty()
+        };
+        if ready && self.store.last_served().elapsed() < self.policy.ttl {
+            Response::new(200, &JobState { id: "ok".into(), stage: "ok".into(), done: 0, running: 0 })
+        } else {
+            Response::refuse(503, "not ready")
+        }
+    }
+
+    fn hello(&self, body: &[u8]) -> Response {
+        let report: Report = match http::decode(body) {
+            Ok(r) => r,
+            Err(e) => return Response::refuse(400, &e.to_string()),
+        };
+        let mut i = self.lock();
+        let now = Instant::now();
+        let entitled = i.authority.is_some_and(|a| now < a.until);
+        if entitled {
+            if let Some(c) = i.cluster.as_mut() {
+                if let Some(answer) = c.report(&report, now) {
+                    let stir = c.stir;
+                    drop(i);
+                    if stir {
+                        self.to_place.wake();
+                    }
+                    self.to_commit.wake();
+                    return Response::new(200, &answer);
+                }
+                log::error!("{} has seen a token above ours", report.machine);
+            }
+            return Response::refuse(503, "not ready");
+        }
+        match &i.leader {
+            Some(l) if l.record.name != self.config.name => {
+                Response::new(421, &Redirect { answer_to: Some(&l.record.name) })
+            }
+            _ => Response::refuse(503, "no leader is known"),
+        }
+    }
+
+    /// Why a job can never run, if it cannot.
+    fn never(&self, spec: &Spec) -> Option<&'static str> {
+        let Some(team) = self.config.deployment.teams.iter().find(|t| *t.name == *spec.team) else {
+            return Some("unknown team");
+        };
+        let i = self.lock();
+        let fits =
+            |t: &&MachineType| spec.types.as_ref().is_none_or(|l| l.contains(&t.name)) && t.size().holds(&spec.size());
+        if !i.types.iter().any(|t| fits(&t)) {
+            return Some("a task fits no allowed machine type");
+        }
+        let n = if spec.shape == Shape::Array { 1.0 } else { f64::from(spec.tasks) };
+        let over = |need: f64, most: f64| most > 0.0 && need * n > most + 1e-6;
+        if over(spec.cpus, team.cpus_max) || over(spec.gpus, team.gpus_max) {
+            return Some("needs more than the team's limit");
+        }
+        None
+    }
+
+    async fn submit(&self, body: &[u8]) -> Response {
+        let spec: Spec = match http::decode(body) {
+            Ok(s) => s,
+            Err(e) => return Response::refuse(400, &e.to_string()),
+        };
+        if let Some(why) = spec.fault() {
+            return Response::refuse(400, why);
+        }
+        let (known, ready) = {
+            let i = self.lock();
+            (i.jobs.contains_key(&spec.id), i.synced && !i.types.is_empty())
+        };
+        // a repeat is recognised before anything is said against it
+        if known {
+            return self.query(&spec.id).await;
+        }
+        if !ready {
+            return Response::refuse(503, "not ready");
+        }
+        if let Some(why) = self.never(&spec) {
+            return match self.find(&spec.id).await {
+                Ok(true) => self.query(&spec.id).await,
+                Ok(false) => Response::refuse(422, why),
+                Err(_) => Response::refuse(503, "the state service does not answer"),
+            };
+        }
+        let id = spec.id.clone();
+        let (reply, answer) = smol::channel::bounded(1);
+        if self.intake.submissions.0.try_send((Arc::new(spec), reply)).is_err() {
+            return Response::refuse(503, "too many submissions");
+        }
+        match timed(SUBMIT_LIMIT, answer.recv()).await {
+            Some(Ok(Accepted::New)) => {
+                Response::new(201, &JobState { id, stage: "pending".into(), done: 0, running: 0 })
+            }
+            Some(Ok(Accepted::Before)) => self.query(&id).await,
+            _ => Response::refuse(503, "the state service does not answer"),
+        }
+    }
+
+    /// Stores submissions, those that wait together in one transaction.
+    pub async fn store_submissions(&self) {
+        let queue = &self.intake.submissions.1;
+        while let Ok(first) = queue.recv().await {
+            let mut batch = vec![first];
+            let mut bytes = 0;
+            while batch.len() < self.store.most_writes && bytes < 20_000 {
+                let Ok(next) = queue.try_recv() else { break };
+                bytes += http::encode(&*next.0).len();
+                batch.push(next);
+            }
+            let mut tries = 0;
+            while !batch.is_empty() {
+                let mut txn = Txn::default();
+                for (spec, _) in &batch {
+                    let path = format!("{}{}", key::JOB, spec.id);
+                    // twice the same id in one batch: once is enough
+                    if !txn.guards.iter().any(|g| g.path == path) {
+                        txn.guard(path.clone(), 0);
+                        txn.writes.push(Write::set(path, &**spec));
+                    }
+                }
+                let outcome = self.store.txn(&txn).await;
+                let now = Instant::now();
+                match outcome {
+                    Ok(Outcome::Done(stamp)) => {
+                        for (spec, reply) in batch.drain(..) {
+                            self.learn_job(spec, stamp, now);
+                            let _ = reply.try_send(Accepted::New);
+                        }
+                    }
+                    Ok(Outcome::Conflict(failed)) => {
+                        // those exist already, perhaps by a try of ours
+                        for k in &failed {
+                            let found = k.strip_prefix(key::JOB).is_some() && self.fetch(k).await.is_ok();
+                            let answer = if found { Accepted::Before } else { Accepted::Unknown };
+                            for (_, reply) in batch.extract_if(.., |(s, _)| *k == format!("{}{}", key::JOB, s.id)) {
+                                let _ = reply.try_send(answer);
+                            }
+                        }
+                    }
+                    Err(Error::Refused(429)) if tries < 4 => {
+                        tries += 1;
+                        smol::Timer::after(Duration::from_millis(150)).await;
+                    }
+                    Err(e) => {
+                        log::debug!("submissions: {e}");
+                        for (_, reply) in batch.drain(..) {
+                            let _ = reply.try_send(Accepted::Unknown);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reads a job's record into what is known.
+    async fn fetch(&self, path: &str) -> Result<bool, Error> {
+        let Some(item) = self.store.get(path).await? else { return Ok(false) };
+        if let Some(spec) = read_value::<Spec>(path, item.data) {
+            self.learn_job(Arc::new(spec), item.stamp, Instant::now());
+        }
+        Ok(true)
+    }
+
+    /// Whether a job was ever accepted.
+    async fn find(&self, id: &str) -> Result<bool, Error> {
+        if self.lock().jobs.contains_key(id) {
+            return Ok(true);
+        }
+        self.fetch(&format!("{}{id}", key::JOB)).await
+    }
+
+    /// The job's end, or `None` if the store confirms that it has none.
+    async fn fate_of(&self, id: &Name) -> Option<Option<Fate>> {
+        if let Some(f) = self.lock().jobs.get(id).and_then(|k| k.fate) {
+            return Some(Some(f));
+        }
+        let (reply, answer) = smol::channel::bounded(1);
+        self.intake.checks.0.try_send((id.clone(), reply)).ok()?;
+        timed(QUERY_LIMIT, answer.recv()).await?.ok()?
+    }
+
+    /// Confirms that jobs have no end, those that wait together at once.
+    pub async fn confirm_open(&self) {
+        let queue = &self.intake.checks.1;
+        while let Ok(first) = queue.recv().await {
+            let mut batch = vec![first];
+            while batch.len() < self.store.most_guards {
+                let Ok(next) = queue.try_recv() else { break };
+                batch.push(next);
+            }
+            let mut tries = 0;
+            while !batch.is_empty() {
+                let mut txn = Txn::default();
+                for (id, _) in &batch {
+                    txn.guard(format!("{}{id}", key::FATE), 0);
+                }
+                match self.store.txn(&txn).await {
+                    Ok(Outcome::Done(_)) => {
+                        for (_, reply) in batch.drain(..) {
+                            let _ = reply.try_send(Some(None));
+                        }
+                    }
+                    Ok(Outcome::Conflict(failed)) => {
+                        for k in failed {
+                            let fate = self.read_fate(&k).await;
+                            for (_, reply) in batch.extract_if(.., |(id, _)| k == format!("{}{id}", key::FATE)) {
+                                let _ = reply.try_send(fate.map(Some));
+                            }
+                        }
+                    }
+                    Err(Error::Refused(429)) if tries < 3 => {
+                        tries += 1;
+                        smol::Timer::after(Duration::from_millis(100)).await;
+                    }
+                    Err(e) => {
+                        log::debug!("query: {e}");
+                        for (_, reply) in batch.drain(..) {
+                            let _ = reply.try_send(None);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    async fn read_fate(&self, path: &str) -> Option<Fate> {
+        let item = self.store.get(path).await.ok()??;
+        let f = read_value::<FateRecord>(path, item.data)?.fate;
+        if let Some(id) = path.strip_prefix(key::FATE) {
+            self.learn_fate(id, f, Instant::now());
+        }
+        Some(f)
+    }
+
+    /// A job's state for display.
+    fn state(&self, id: &Name, fate: Option<Fate>) -> JobState {
+        let i = self.lock();
+        let tasks = i.jobs.get(id).map_or(0, |k| k.spec.tasks);
+        let (mut done, mut running) = (0, 0);
+        match fate {
+            Some(Fate::Done) => done = tasks,
+            Some(Fate::Cancelled) => {}
+            None => {
+                if let Some((c, j)) = i.cluster.as_ref().and_then(|c| Some((c, c.jobs.get(id)?))) {
+                    done = j.done.len();
+                    for (n, list) in &j.places {
+                        let task = Task { job: id.clone(), index: *n };
+                        let runs = |m: &Name| {
+                            let p = c.machines.get(m).and_then(|m| m.tasks.get(&task));
+                            p.is_some_and(|p| p.phase == crate::cluster::Phase::Running)
+                        };
+                        running += u32::from(list.iter().any(runs));
+                    }
+                }
+            }
+        }
+        let stage = match fate {
+            Some(f) => f.word(),
+            None if running > 0 => "running",
+            None => "pending",
+        };
+        JobState { id: id.clone(), stage: stage.into(), done, running }
+    }
+
+    async fn query(&self, id: &str) -> Response {
+        if !valid_id(id) {
+            return Response::refuse(404, "no such job");
+        }
+        match timed(QUERY_LIMIT, self.find(id)).await {
+            Some(Ok(true)) => {}
+            Some(Ok(false)) => return Response::refuse(404, "no such job"),
+            _ => return Response::refuse(503, "the state service does not answer"),
+        }
+        let id: Name = id.into();
+        match self.fate_of(&id).await {
+            Some(fate) => Response::new(200, &self.state(&id, fate)),
+            None => Response::refuse(503, "the state service does not answer"),
+        }
+    }
+
+    async fn withdraw(&self, id: &str) -> Response {
+        if !valid_id(id) {
+            return Response::refuse(404, "no such job");
+        }
+        match timed(SUBMIT_LIMIT, self.cancel(id)).await {
+            Some(Ok(Some(fate))) => Response::new(200, &self.state(&id.into(), Some(fate))),
+            Some(Ok(None)) => Response::refuse(404, "no such job"),
+            Some(Err(_)) | None => Response::refuse(503, "the state service does not answer"),
+        }
+    }
+
+    async fn cancel(&self, id: &str) -> Result<Option<Fate>, Error> {
+        if !self.find(id).await? {
+            return Ok(None);
+        }
+        if let Some(f) = self.lock().jobs.get(id).and_then(|k| k.fate) {
+            return Ok(Some(f));
+        }
+        let path = format!("{}{id}", key::FATE);
+        let mut txn = Txn::default();
+        txn.guard(path.clone(), 0);
+        txn.writes.push(Write::set(path.clone(), &FateRecord { fate: Fate::Cancelled }));
+        match self.store.txn(&txn).await? {
+            Outcome::Done(_) => {
+                self.learn_fate(id, Fate::Cancelled, Instant::now());
+                Ok(Some(Fate::Cancelled))
+            }
+            // whoever loses the race says what the store says
+            Outcome::Conflict(_) => self.read_fate(&path).await.map(Some).ok_or(Error::Refused(503)),
+        }
+    }
+}
--- /dev/null
+++ b/src/leader.rs
@@ -0,0 +1,348 @@
+//! What a leader does besides answering reports: reads the store, places,
+//! commits, and deals with the cloud.  All of it ends with the term.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::cluster::{Cluster, MachineRecord};
+use crate::commit::DoneRecord;
+use crate::fleet::{Listed, Plan, Rental};
+use crate::http;
+use crate::leadership::Authority;
+use crate::model::*;
+use crate::node::{timed, Node};
+use crate::store::{key, read_value, Error, Outcome, Txn, Write};
+
+#[derive(Deserialize)]
+struct Types {
+    #[serde(rename = "hulls")]
+    types: Vec<MachineType>,
+}
+#[derive(Deserialize)]
+struct ListPage {
+    #[serde(rename = "polyps")]
+    machines: Vec<Listed>,
+    #[serde(default)]
+    truncated: bool,
+}
+#[derive(Serialize, Deserialize)]
+struct Machines {
+    #[serde(rename = "polyps")]
+    machines: Vec<Name>,
+}
+
+/// How long the cloud may take to answer.
+const CLOUD_LIMIT: Duration = Duration::from_secs(4);
+
+impl Node {
+    /// Leads until the term is over; the caller drops this when it is.
+    pub async fn lead(&self, a: Authority) -> &'static str {
+        loop {
+            match self.read_all(a).await {
+                Ok(c) => {
+                    let mut i = self.lock();
+                    log::info!("term {}: {} jobs, {} machines on record", a.term, c.jobs.len(), c.machines.len());
+                    i.cluster = Some(c);
+                    break;
+                }
+                Err(e) => {
+                    log::info!("cannot read the store for term {}: {e}", a.term);
+                    smol::Timer::after(self.policy.renew / 4).await;
+                }
+            }
+        }
+        self.to_place.wake();
+        let work = futures_lite::future::or(self.commits(a), self.placing());
+        let cloud = futures_lite::future::or(self.listing(a), self.cloud_work());
+        futures_lite::future::or(futures_lite::future::or(work, cloud), self.ears()).await
+    }
+
+    /// A new leader's picture: jobs from the watch, the rest from the store.
+    async fn read_all(&self, a: Authority) -> Result<Cluster, Error> {
+        // the watch has to be past our own beginning, or a job named in a
+        // record might still be unknown
+        while self.lock().epoch < a.stamp {
+            smol::Timer::after(Duration::from_millis(20)).await;
+        }
+        let done = self.store.list(key::DONE).await?.0;
+        let records = self.store.list(key::MACHINE).await?.0;
+        let now = Instant::now();
+        let mut c = Cluster::new(a.term, self.policy.clone(), self.teams(), now);
+        let i = self.lock();
+        c.set_types(&i.types);
+        for k in i.jobs.values() {
+            c.add_job(k.spec.clone(), k.stamp, k.fate, now);
+        }
+        for item in done {
+            let Some((id, chunk)) = item.path.strip_prefix(key::DONE).and_then(|p| p.split_once('/')) else { continue };
+            if let (Ok(chunk), Some(r)) = (chunk.parse(), read_value::<DoneRecord>(&item.path, item.data.clone())) {
+                c.add_done(id, chunk, item.stamp, &r.done);
+            }
+        }
+        for item in records {
+            let Some(name) = item.path.strip_prefix(key::MACHINE) else { continue };
+            if let Some(r) = read_value::<MachineRecord>(&item.path, item.data.clone()) {
+                c.add_record(&name.into(), item.stamp, &r, now);
+            }
+        }
+        c.tidy(now);
+        Ok(c)
+    }
+
+    /// Stores what there is to store, one transaction at a time.
+    async fn commits(&self, a: Authority) -> &'static str {
+        loop {
+            let batch = self.lock().cluster.as_mut().and_then(|c| c.next_batch(a.stamp, &self.store));
+            let Some(batch) = batch else {
+                self.to_commit.wait(Duration::from_millis(500)).await;
+                continue;
+            };
+            let outcome = self.store.txn(&batch.txn).await;
+            let now = Instant::now();
+            match outcome {
+                Ok(Outcome::Done(revision)) => {
+                    let ended = self.lock().cluster.as_mut().map(|c| c.committed(&batch, revision, now));
+                    for id in ended.unwrap_or_default() {
+                        log::debug!("{id} is done");
+                        self.learn_fate(&id, Fate::Done, now);
+                    }
+                    self.to_place.wake();
+                }
+                Ok(Outcome::Conflict(keys)) => {
+                    if keys.iter().any(|k| k == key::LEADER) {
+                        return "the leader key has changed";
+                    }
+                    log::info!("transaction in conflict over {keys:?}");
+                    if let Some(c) = self.lock().cluster.as_mut() {
+                        c.not_committed(&batch);
+                    }
+                    for k in keys {
+                        match self.store.get(&k).await {
+                            Ok(item) => {
+                                if let Some(c) = self.lock().cluster.as_mut() {
+                                    c.resolve(&k, item.as_ref(), now);
+                                }
+                            }
+                            Err(e) => log::debug!("cannot read {k}: {e}"),
+                        }
+                    }
+                    smol::Timer::after(Duration::from_millis(20)).await;
+                }
+                Err(e) => {
+                    log::debug!("transaction: {e}");
+                    if let Some(c) = self.lock().cluster.as_mut() {
+                        c.not_committed(&batch);
+                    }
+                    smol::Timer::after(self.policy.renew / 4).await;
+                }
+            }
+        }
+    }
+
+    /// Passes over the queue: when something changed, and now and then.
+    async fn placing(&self) -> &'static str {
+        let gap = Duration::from_millis(30);
+        loop {
+            self.to_place.wait(Duration::from_millis(500)).await;
+            let now = Instant::now();
+            if self.may_act(now) {
+                let mut i = self.lock();
+                if let Some(c) = i.cluster.as_mut() {
+                    let wants = c.place(now);
+                    c.tidy(now);
+                    i.wants = wants;
+                }
+            }
+            self.to_commit.wake();
+            smol::Timer::after(gap).await;
+        }
+    }
+
+    /// A leader that no worker reaches hands over to one they may reach.
+    async fn ears(&self) -> &'static str {
+        loop {
+            smol::Timer::after(self.policy.fresh / 2).await;
+            let now = Instant::now();
+            let i = self.lock();
+            let (Some(c), Some(a)) = (&i.cluster, &i.authority) else { continue };
+            let expected = c
+                .machines
+                .values()
+                .filter(|m| m.gone.is_none() && (m.heard.is_some() || m.stage == Some(crate::cluster::Stage::Running)))
+                .count();
+            let last = c.machines.values().filter_map(|m| m.heard).max().unwrap_or(c.began);
+            if now < a.until && expected >= 2 && now.duration_since(last.max(c.began)) > self.policy.deaf {
+                return "hears no worker";
+            }
+        }
+    }
+
+    async fn cloud_get<T: serde::de::DeserializeOwned>(&self, target: &str) -> Result<T, String> {
+        match self.cloud.send(self.config.services.cloud, "GET", target, None, CLOUD_LIMIT).await {
+            Ok((200, body)) => http::decode(&body).map_err(|e| e.to_string()),
+            Ok((s, _)) => Err(format!("status {s}")),
+            Err(e) => Err(e.to_string()),
+        }
+    }
+
+    /// Machine types, from the cloud; every controller needs them to judge
+    /// submissions.
+    pub async fn learn_types(&self) -> bool {
+        match self.cloud_get::<Types>("/flavors").await {
+            Ok(t) if !t.types.is_empty() => {
+                let mut i = self.lock();
+                if let Some(c) = i.cluster.as_mut() {
+                    c.set_types(&t.types);
+                }
+                i.types = t.types;
+                true
+            }
+            Ok(_) => false,
+            Err(e) => {
+                log::debug!("machine types: {e}");
+                false
+            }
+        }
+    }
+
+    /// Lists machines, and types now and then.
+    async fn listing(&self, a: Authority) -> &'static str {
+        let mut types_at: Option<Instant> = None;
+        let mut stored: Option<Vec<MachineType>> = None;
+        loop {
+            if types_at.is_none_or(|t| t.elapsed() > self.policy.list_every * 10) && self.learn_types().await {
+                types_at = Some(Instant::now());
+                // kept for a start during an outage of the cloud
+                let mut types = self.lock().types.clone();
+                for t in &mut types {
+                    // prices move all the time; a start needs the sizes
+                    (t.price, t.spot_price) = (t.price.ceil(), t.spot_price.ceil());
+                }
+                let sizes = |l: &[MachineType]| l.iter().map(|t| (t.name.clone(), t.size())).collect::<Vec<_>>();
+                if stored.as_deref().map(sizes) != Some(sizes(&types)) {
+                    let mut txn = Txn { guards: vec![], writes: vec![Write::set(key::TYPES, &types)] };
+                    txn.guard(key::LEADER, a.stamp);
+                    if self.store.txn(&txn).await.is_ok() {
+                        stored = Some(types);
+                    }
+                }
+            }
+            match self.whole_list().await {
+                Ok(list) => {
+                    if let Some(c) = self.lock().cluster.as_mut() {
+                        c.list(&list, Instant::now());
+                    }
+                }
+                Err(e) => log::debug!("list of machines: {e}"),
+            }
+            smol::Timer::after(self.policy.list_every).await;
+        }
+    }
+
+    async fn whole_list(&self) -> Result<Vec<Listed>, String> {
+        let (mut all, mut after) = (Vec::new(), String::new());
+        loop {
+            let target = match after.as_str() {
+                "" => "/rentals?page=500".to_owned(),
+                a => format!("/rentals?since={a}&page=500"),
+            };
+            let page: ListPage = self.cloud_get(&target).await?;
+            let last = page.machines.last().map(|m| m.name.to_string());
+            all.extend(page.machines);
+            match last {
+                Some(l) if page.truncated => after = l,
+                _ => return Ok(all),
+            }
+        }
+    }
+
+    /// Rents and returns.
+    async fn cloud_work(&self) -> &'static str {
+        let mut due = Instant::now();
+        loop {
+            let now = Instant::now();
+            if now < due {
+                smol::Timer::after(due - now).await;
+            }
+            due = Instant::now() + Duration::from_millis(500);
+            let now = Instant::now();
+            if !self.may_act(now) {
+                continue;
+            }
+            let plan = {
+                let mut i = self.lock();
+                let wants = std::mem::take(&mut i.wants);
+                let plan = i.cluster.as_mut().map(|c| c.plan(&wants, now)).unwrap_or_default();
+                i.wants = wants;
+                plan
+            };
+            self.carry_out(plan).await;
+            self.to_place.wake();
+        }
+    }
+
+    async fn carry_out(&self, plan: Plan) {
+        // within the cloud's limit, with room left for the lists
+        let pace = Duration::from_secs_f64(1.6 / self.config.deployment.cloud.rps);
+        if !plan.delete.is_empty() {
+            let body = http::encode(&Machines { machines: plan.delete.clone() });
+            let sent = self.cloud.send(self.config.services.cloud, "POST", "/rentals/delete", Some(&body), CLOUD_LIMIT);
+            match sent.await {
+                Ok((200, _)) => {
+                    if let Some(c) = self.lock().cluster.as_mut() {
+                        c.deleted(&plan.delete, Instant::now());
+                    }
+                    self.to_place.wake();
+                }
+                Ok((s, _)) => log::debug!("deletion: status {s}"),
+                Err(e) => log::debug!("deletion: {e}"),
+            }
+            smol::Timer::after(pace).await;
+        }
+        for r in plan.rent {
+            self.rent(&r).await;
+            smol::Timer::after(pace).await;
+        }
+    }
+
+    async fn rent(&self, r: &Rental) {
+        if !self.may_act(Instant::now()) {
+            return;
+        }
+        let body = http::encode(r);
+        let sent = self.cloud.send(self.config.services.cloud, "POST", "/rentals", Some(&body), CLOUD_LIMIT);
+        let answer = timed(CLOUD_LIMIT * 2, sent).await;
+        let now = Instant::now();
+        let mut i = self.lock();
+        let Some(c) = i.cluster.as_mut() else { return };
+        match answer {
+            Some(Ok((200, body))) => match http::decode::<Machines>(&body) {
+                Ok(m) => c.rented(r, &m.machines, now),
+                Err(e) => log::error!("rental {}: {e}", r.charter),
+            },
+            Some(Ok((503, body))) if String::from_utf8_lossy(&body).contains("capacity") => {
+                log::info!("no capacity: {} in {}, spot {}", r.kind, r.zone, r.spot);
+                c.fleet.open.retain(|o| o.charter != r.charter);
+                c.no_capacity(&(r.kind.clone(), r.zone.clone(), r.spot), now);
+            }
+            Some(Ok((400, _))) => {
+                log::error!("rental {} is malformed to the cloud", r.charter);
+                c.fleet.open.retain(|o| o.charter != r.charter);
+                c.no_capacity(&(r.kind.clone(), r.zone.clone(), r.spot), now);
+            }
+            // in doubt: asked again under the same charter
+            Some(Ok((s, _))) => log::debug!("rental {}: status {s}", r.charter),
+            Some(Err(e)) => log::debug!("rental {}: {e}", r.charter),
+            None => {}
+        }
+    }
+
+    /// Learns the types at the start, whoever leads.
+    pub async fn types_at_start(self: Arc<Self>) {
+        while self.lock().types.is_empty() && !self.learn_types().await {
+            smol::Timer::after(self.policy.renew).await;
+        }
+    }
+}
--- /dev/null
+++ b/src/model.rs
@@ -0,0 +1,381 @@
+//! The field's terms, and the wire's words at their edge.
+
+use std::fmt;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// A name shared by many places.
+pub type Name = Arc<str>;
+
+/// The shape of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Shape {
+    /// Independent tasks, each runs to completion.
+    #[serde(rename = "batch")]
+    Array,
+    /// All tasks at the same time, or none.
+    #[serde(rename = "group")]
+    Gang,
+    /// Replicas that run until the job is cancelled.
+    #[serde(rename = "standing")]
+    Service,
+}
+
+/// Priority, the most urgent first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Rank {
+    /// Before everything.
+    #[serde(rename = "production")]
+    Production,
+    /// Before ordinary work.
+    #[serde(rename = "high")]
+    High,
+    /// Ordinary work.
+    #[serde(rename = "normal")]
+    Normal,
+    /// After everything.
+    #[serde(rename = "best_effort")]
+    Low,
+}
+
+/// What a task takes of a machine, or what is left of one.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Size {
+    /// Cores.
+    pub cpus: f64,
+    /// Accelerators.
+    pub gpus: f64,
+    /// Memory.
+    pub memory: f64,
+}
+
+/// Rounding in sums of decimal amounts must not turn a fit into a refusal.
+const SLACK: f64 = 1e-6;
+
+impl Size {
+    /// Whether a task of size `s` fits into this.
+    pub fn holds(&self, s: &Size) -> bool {
+        s.cpus <= self.cpus + SLACK && s.gpus <= self.gpus + SLACK && s.memory <= self.memory + SLACK
+    }
+    /// Takes `s` away.
+    pub fn take(&mut self, s: &Size) {
+        self.cpus -= s.cpus;
+        self.gpus -= s.gpus;
+        self.memory -= s.memory;
+    }
+    /// Adds `s`.
+    pub fn give(&mut self, s: &Size) {
+        self.cpus += s.cpus;
+        self.gpus += s.gpus;
+        self.memory += s.memory;
+    }
+    /// How many tasks of size `s` fit, at most `most`.
+    pub fn count(&self, s: &Size, most: usize) -> usize {
+        let part = |have: f64, need: f64| {
+            if need <= 0.0 {
+                f64::INFINITY
+            } else {
+                ((have + SLACK) / need).floor().max(0.0)
+            }
+        };
+        let n = part(self.cpus, s.cpus).min(part(self.gpus, s.gpus)).min(part(self.memory, s.memory));
+        if n.is_finite() {
+            (n as usize).min(most)
+        } else {
+            most
+        }
+    }
+}
+
+/// A submission as users send it and as the store keeps it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Spec {
+    /// The job's id, chosen by its user.
+    #[serde(rename = "nameId")]
+    pub id: Name,
+    /// Class, as the objectives name it.
+    #[serde(rename = "lane")]
+    pub class: Name,
+    /// Team.
+    #[serde(rename = "crew")]
+    pub team: Name,
+    /// Shape.
+    pub shape: Shape,
+    /// Priority.
+    pub rank: Rank,
+    /// Number of tasks.
+    #[serde(rename = "pieces")]
+    pub tasks: u32,
+    /// Cores a task.
+    pub cpus: f64,
+    /// Accelerators a task.
+    #[serde(rename = "accelerators")]
+    pub gpus: f64,
+    /// Memory a task.
+    #[serde(rename = "memGb")]
+    pub memory: f64,
+    /// Image.
+    #[serde(rename = "bundle")]
+    pub image: Name,
+    /// Size of the image.
+    #[serde(rename = "sizeGb")]
+    pub image_gb: f64,
+    /// Allowed machine types.
+    #[serde(rename = "hulls", default)]
+    pub types: Option<Vec<Name>>,
+    /// The only allowed zone.
+    #[serde(rename = "bay", default)]
+    pub zone: Option<Name>,
+    /// All tasks in one zone.
+    pub one_zone: bool,
+    /// At most half of the tasks, rounded up, in one zone.
+    pub spread: bool,
+    /// Whether spot machines may be used.
+    #[serde(rename = "driftwood")]
+    pub spot: bool,
+    /// The owner's estimate of a task's run time.
+    #[serde(rename = "expectS")]
+    pub estimate_s: f64,
+    /// Interval of checkpoints, 0 for none.
+    #[serde(rename = "markEveryS")]
+    pub checkpoint_s: f64,
+    /// Time to save.
+    #[serde(rename = "markTakesS")]
+    pub save_s: f64,
+    /// When the job should be complete.
+    #[serde(rename = "dueS", default)]
+    pub deadline_s: Option<f64>,
+}
+
+/// Most tasks of one job.
+pub const MOST_TASKS: u32 = 100_000;
+
+/// Whether an id has the form the users keep to; only such ids become keys.
+pub fn valid_id(id: &str) -> bool {
+    id.strip_prefix("j-").is_some_and(|d| (1..=32).contains(&d.len()) && d.bytes().all(|b| b.is_ascii_digit()))
+}
+
+impl Spec {
+    /// What one task takes.
+    pub fn size(&self) -> Size {
+        Size { cpus: self.cpus, gpus: self.gpus, memory: self.memory }
+    }
+
+    /// What makes the submission malformed, if anything does.
+    pub fn fault(&self) -> Option<&'static str> {
+        if !valid_id(&self.id) {
+            return Some("nameId");
+        }
+        if self.tasks == 0 || self.tasks > MOST_TASKS {
+            return Some("pieces");
+        }
+        let amounts =
+            [self.cpus, self.gpus, self.memory, self.image_gb, self.estimate_s, self.checkpoint_s, self.save_s];
+        if !amounts.iter().chain(self.deadline_s.iter()).all(|v| v.is_finite() && *v >= 0.0) {
+            return Some("an amount is negative or not finite");
+        }
+        None
+    }
+
+    /// Most tasks of this job that may be in one zone.
+    pub fn zone_cap(&self) -> u32 {
+        if self.spread {
+            self.tasks.div_ceil(2)
+        } else {
+            self.tasks
+        }
+    }
+
+    /// Whether the job may use machines of this type, zone and kind at all.
+    pub fn allows(&self, kind: &Name, zone: &Name, spot: bool) -> bool {
+        self.types.as_ref().is_none_or(|t| t.contains(kind))
+            && self.zone.as_ref().is_none_or(|z| z == zone)
+            && (self.spot || !spot)
+    }
+}
+
+/// How a job ended; created once and never changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Fate {
+    /// All tasks completed.
+    Done,
+    /// Its user withdrew it.
+    Cancelled,
+}
+
+impl Fate {
+    /// The wire's word.
+    pub fn word(self) -> &'static str {
+        match self {
+            Fate::Done => "done",
+            Fate::Cancelled => "cancelled",
+        }
+    }
+}
+
+/// One task of a job.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Task {
+    /// The job.
+    pub job: Name,
+    /// Its number.
+    pub index: u32,
+}
+
+impl fmt::Display for Task {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.job, self.index)
+    }
+}
+
+impl Task {
+    /// Reads `j-000412/3`.
+    pub fn parse(s: &str) -> Option<Task> {
+        let (job, index) = s.split_once('/')?;
+        if !valid_id(job) || index.is_empty() || !index.bytes().all(|b| b.is_ascii_digit()) {
+            return None;
+        }
+        Some(Task { job: job.into(), index: index.parse().ok()? })
+    }
+}
+
+impl Serialize for Task {
+    fn serialize<S: serde::Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        s.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for Task {
+    fn deserialize<D: serde::Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        let s = std::borrow::Cow::<str>::deserialize(d)?;
+        Task::parse(&s).ok_or_else(|| serde::de::Error::custom("not a task"))
+    }
+}
+
+/// A machine type as the cloud describes it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MachineType {
+    /// Name.
+    #[serde(rename = "label")]
+    pub name: Name,
+    /// Cores.
+    pub cpus: f64,
+    /// Accelerators.
+    #[serde(rename = "accelerators", default)]
+    pub gpus: f64,
+    /// Memory.
+    #[serde(rename = "memGb")]
+    pub memory: f64,
+    /// Room for images.
+    #[serde(rename = "localGb", default)]
+    pub cache_gb: f64,
+    /// How fast images arrive.
+    #[serde(rename = "fetchGbPerS", default)]
+    pub fetch_gb_per_s: f64,
+    /// Price an hour, ordinary.
+    #[serde(rename = "hourly", default)]
+    pub price: f64,
+    /// Price an hour, spot.
+    #[serde(rename = "lowPrice", default)]
+    pub spot_price: f64,
+    /// Usual time to boot.
+    #[serde(rename = "bootS", default)]
+    pub boot_s: f64,
+    /// Zones that have it.
+    #[serde(rename = "bays", default)]
+    pub zones: Vec<Name>,
+}
+
+impl MachineType {
+    /// What an empty machine of this type offers.
+    pub fn size(&self) -> Size {
+        Size { cpus: self.cpus, gpus: self.gpus, memory: self.memory }
+    }
+}
+
+/// A set of task numbers, as ranges: an array of a hundred thousand tasks is
+/// a few numbers, not a hundred thousand objects.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Ranges(Vec<(u32, u32)>);
+
+impl Ranges {
+    /// The set of `from..to`.
+    pub fn span(from: u32, to: u32) -> Ranges {
+        Ranges(if from < to { vec![(from, to)] } else { vec![] })
+    }
+    /// Whether it is empty.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+    /// How many numbers it holds.
+    pub fn len(&self) -> u32 {
+        self.0.iter().map(|(a, b)| b.saturating_sub(*a)).sum()
+    }
+    /// Whether `n` is in it.
+    pub fn contains(&self, n: u32) -> bool {
+        let i = self.0.partition_point(|r| r.1 <= n);
+        self.0.get(i).is_some_and(|r| r.0 <= n)
+    }
+    /// Adds `n`; false if it was there.
+    pub fn insert(&mut self, n: u32) -> bool {
+        let i = self.0.partition_point(|r| r.1 < n);
+        match self.0.get_mut(i) {
+            Some(r) if r.0 <= n && n < r.1 => return false,
+            Some(r) if r.1 == n => r.1 += 1,
+            Some(r) if n + 1 == r.0 => r.0 = n,
+            _ => self.0.insert(i, (n, n + 1)),
+        }
+        if i + 1 < self.0.len() && self.0[i].1 == self.0[i + 1].0 {
+            self.0[i].1 = self.0[i + 1].1;
+            self.0.remove(i + 1);
+        }
+        true
+    }
+    /// Removes `n`; false if it was not there.
+    pub fn remove(&mut self, n: u32) -> bool {
+        let i = self.0.partition_point(|r| r.1 <= n);
+        let Some(&(a, b)) = self.0.get(i).filter(|r| r.0 <= n) else { return false };
+        let parts = [(a, n), (n + 1, b)].into_iter().filter(|r| r.0 < r.1);
+        self.0.splice(i..=i, parts);
+        true
+    }
+    /// The numbers in order.
+    pub fn iter(&self) -> impl Iterator<Item = u32> + '_ {
+        self.0.iter().flat_map(|&(a, b)| a..b)
+    }
+    /// The part within `from..to`.
+    pub fn within(&self, from: u32, to: u32) -> Ranges {
+        Ranges(self.0.iter().map(|&(a, b)| (a.max(from), b.min(to))).filter(|r| r.0 < r.1).collect())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    proptest! {
+        #[test]
+        fn ranges_behave_like_a_set(ops in prop::collection::vec((any::<bool>(), 0u32..60), 0..120)) {
+            let (mut r, mut s) = (Ranges::default(), std::collections::BTreeSet::new());
+            for (add, n) in ops {
+                if add { prop_assert_eq!(r.insert(n), s.insert(n)); } else { prop_assert_eq!(r.remove(n), s.remove(&n)); }
+                prop_assert_eq!(r.iter().collect::<Vec<_>>(), s.iter().copied().collect::<Vec<_>>());
+                prop_assert_eq!(r.len() as usize, s.len());
+                prop_assert!(r.0.windows(2).all(|w| w[0].1 < w[1].0), "ranges stay apart");
+            }
+            prop_assert!((0..60).all(|n| r.contains(n) == s.contains(&n)));
+            prop_assert_eq!(r.within(10, 20).iter().collect::<Vec<_>>(), s.range(10..20).copied().collect::<Vec<_>>());
+        }
+
+        #[test]
+        fn tasks_survive_the_wire(n in 0u32..1_000_000, i in any::<u32>()) {
+            let t = Task { job: format!("j-{n:06}").into(), index: i };
+            prop_assert_eq!(Task::parse(&t.to_string()), Some(t));
+        }
+    }
+}
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,269 @@
+//! One controller: the state its slices share, behind a short lock, and the
+//! loops that connect the slices to the world.
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use futures_lite::future::or;
+
+use crate::cluster::{Cluster, TeamLimit};
+use crate::commit::FateRecord;
+use crate::config::Config;
+use crate::http;
+use crate::intake::Intake;
+use crate::leadership::{Authority, LeaderRecord};
+use crate::model::*;
+use crate::placement::Want;
+use crate::policy::Policy;
+use crate::store::{key, read_value, Event, Store};
+
+/// A job as every controller knows it.
+#[derive(Debug, Clone)]
+pub struct Known {
+    /// The submission.
+    pub spec: Arc<Spec>,
+    /// Stamp of its record.
+    pub stamp: u64,
+    /// Its end.
+    pub fate: Option<Fate>,
+}
+
+/// The leader as seen in the store.
+#[derive(Debug, Clone)]
+pub struct LeaderSeen {
+    /// Who and in which term.
+    pub record: LeaderRecord,
+    /// Stamp of the key.
+    pub stamp: u64,
+}
+
+/// What the slices share.
+#[derive(Default)]
+pub struct Inner {
+    /// Jobs by id.
+    pub jobs: HashMap<Name, Known>,
+    /// The watch has caught up once.
+    pub synced: bool,
+    /// Revision up to which the watch has been seen.
+    pub epoch: u64,
+    /// Who leads.
+    pub leader: Option<LeaderSeen>,
+    /// Our own right to act.
+    pub authority: Option<Authority>,
+    /// The leader's state, once it is read.
+    pub cluster: Option<Cluster>,
+    /// Machine types as last seen.
+    pub types: Vec<MachineType>,
+    /// What found no place in the last pass.
+    pub wants: Vec<Want>,
+}
+
+/// A wake-up that is never lost and never queues up.
+pub struct Wake(smol::channel::Sender<()>, smol::channel::Receiver<()>);
+
+impl Default for Wake {
+    fn default() -> Self {
+        let (s, r) = smol::channel::bounded(1);
+        Wake(s, r)
+    }
+}
+
+impl Wake {
+    /// Wakes whoever waits, now or next.
+    pub fn wake(&self) {
+        let _ = self.0.try_send(());
+    }
+    /// Waits for a wake-up, or until the time is over.
+    pub async fn wait(&self, most: Duration) {
+        or(
+            async {
+                let _ = self.1.recv().await;
+            },
+            async {
+                smol::Timer::after(most).await;
+            },
+        )
+        .await;
+    }
+}
+
+/// A controller.
+pub struct Node {
+    /// Settings.
+    pub config: Config,
+    /// Tunables.
+    pub policy: Arc<Policy>,
+    /// State service.
+    pub store: Store,
+    /// Client for the cloud.
+    pub cloud: http::Client,
+    inner: Mutex<Inner>,
+    /// Something to place.
+    pub to_place: Wake,
+    /// Something to store.
+    pub to_commit: Wake,
+    /// The leader changed.
+    pub to_lead: Wake,
+    /// Users' requests on their way to the store.
+    pub intake: Intake,
+}
+
+/// Runs a future for at most so long.
+pub async fn timed<T>(limit: Duration, work: impl Future<Output = T>) -> Option<T> {
+    or(async { Some(work.await) }, async {
+        smol::Timer::after(limit).await;
+        None
+    })
+    .await
+}
+
+impl Node {
+    /// A controller that has not started yet.
+    pub fn new(config: Config, now: Instant) -> Node {
+        let policy = Arc::new(Policy::new(&config));
+        let store = Store::new(config.services.state, &config.deployment.state, now);
+        Node {
+            policy,
+            store,
+            cloud: http::Client::default(),
+            inner: Mutex::default(),
+            to_place: Wake::default(),
+            to_commit: Wake::default(),
+            to_lead: Wake::default(),
+            intake: Intake::default(),
+            config,
+        }
+    }
+
+    /// The shared state; never held over an await.
+    pub fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// The teams' limits.
+    pub fn teams(&self) -> HashMap<Name, TeamLimit> {
+        let team = |t: &crate::config::Team| {
+            let size = |cpus, gpus| Size { cpus, gpus, memory: 0.0 };
+            (t.name.as_str().into(), TeamLimit { guarantee: size(t.cpus, t.gpus), most: size(t.cpus_max, t.gpus_max) })
+        };
+        self.config.deployment.teams.iter().map(team).collect()
+    }
+
+    /// A job seen in the store.
+    pub fn learn_job(&self, spec: Arc<Spec>, stamp: u64, now: Instant) {
+        let mut i = self.lock();
+        let known = i.jobs.entry(spec.id.clone()).or_insert(Known { spec, stamp, fate: None }).clone();
+        if let Some(c) = i.cluster.as_mut() {
+            if known.fate.is_none() {
+                c.add_job(known.spec, known.stamp, None, now);
+                self.to_place.wake();
+            }
+        }
+    }
+
+    /// A job's end, as stored.
+    pub fn learn_fate(&self, id: &str, fate: Fate, now: Instant) {
+        let mut i = self.lock();
+        if let Some(k) = i.jobs.get_mut(id) {
+            k.fate = Some(fate);
+        }
+        if let Some(c) = i.cluster.as_mut() {
+            c.set_fate(id, fate, now);
+            self.to_place.wake();
+            self.to_commit.wake();
+        }
+    }
+
+    fn event(&self, e: Event) {
+        let now = Instant::now();
+        match (e.set, e.delete, e.data) {
+            (Some(path), _, Some(data)) => {
+                if path.starts_with(key::JOB) {
+                    if let Some(spec) = read_value::<Spec>(&path, data) {
+                        self.learn_job(Arc::new(spec), e.stamp, now);
+                    }
+                } else if let Some(id) = path.strip_prefix(key::FATE) {
+                    if let Some(f) = read_value::<FateRecord>(&path, data) {
+                        self.learn_fate(id, f.fate, now);
+                    }
+                } else if path == key::LEADER {
+                    if let Some(record) = read_value::<LeaderRecord>(&path, data) {
+                        log::info!("{} leads, term {}", record.name, record.term);
+                        self.lock().leader = Some(LeaderSeen { record, stamp: e.stamp });
+                        self.to_lead.wake();
+                    }
+                } else if path == key::TYPES {
+                    if let Some(t) = read_value::<Vec<MachineType>>(&path, data) {
+                        let mut i = self.lock();
+                        if i.types.is_empty() {
+                            i.types = t;
+                        }
+                    }
+                }
+            }
+            (_, Some(path), _) if path == key::LEADER => {
+                log::info!("nobody leads");
+                self.lock().leader = None;
+                self.to_lead.wake();
+            }
+            _ => {}
+        }
+    }
+
+    fn caught_up(&self, epoch: u64, leads: bool) {
+        let mut inner = self.lock();
+        if !leads {
+            inner.leader = None;
+        }
+        inner.epoch = inner.epoch.max(epoch);
+        if !inner.synced {
+            log::info!("caught up with the store at {epoch}, {} jobs", inner.jobs.len());
+        }
+        inner.synced = true;
+        self.to_lead.wake();
+    }
+
+    /// Keeps up with the store for as long as the controller runs.
+    pub async fn watch(&self) {
+        let block = Duration::from_secs_f64(self.policy.ttl.as_secs_f64() * 1.5);
+        loop {
+            match self.store.list(key::WATCHED).await {
+                Ok((items, epoch)) => {
+                    let leads = items.iter().any(|i| i.path == key::LEADER);
+                    // jobs before their ends
+                    let (fates, rest): (Vec<_>, Vec<_>) =
+                        items.into_iter().partition(|i| i.path.starts_with(key::FATE));
+                    for i in rest.into_iter().chain(fates) {
+                        self.event(Event { set: Some(i.path), delete: None, data: Some(i.data), stamp: i.stamp });
+                    }
+                    self.caught_up(epoch, leads);
+                    let mut since = epoch;
+                    loop {
+                        match self.store.changes(key::WATCHED, since, block).await {
+                            Ok((news, epoch)) => {
+                                // jobs before their ends, as in the list
+                                for e in news {
+                                    self.event(e);
+                                }
+                                since = epoch.max(since);
+                                let mut inner = self.lock();
+                                inner.epoch = inner.epoch.max(since);
+                            }
+                            Err(crate::store::Error::Gone) => break,
+                            Err(e) => {
+                                log::debug!("watch: {e}");
+                                smol::Timer::after(self.policy.renew / 2).await;
+                            }
+                        }
+                    }
+                }
+                Err(e) => {
+                    log::debug!("cannot read the store yet: {e}");
+                    smol::Timer::after(self.policy.renew / 2).await;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/placement/mod.rs
@@ -0,0 +1,529 @@
+//! The queue: who is next, where it may go, where it goes, and what has to
+//! make room.  The ordinary path is the design's: the head by rank and
+//! arrival, both picks, the threshold switch with AI2 ([`tai2`]).
+
+pub mod tai2;
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Instant;
+
+use crate::cluster::{Cluster, Phase, Place, TeamLimit};
+use crate::model::*;
+use tai2::{Candidate, How, Weather};
+
+/// Tasks that found no machine: what the fleet should grow by.
+#[derive(Debug, Clone)]
+pub struct Want {
+    /// Their job.
+    pub spec: Arc<Spec>,
+    /// How many.
+    pub count: u32,
+    /// Tasks of the job that are or may be in each zone already.
+    pub zones: BTreeMap<Name, u32>,
+}
+
+/// A machine as a pass sees it.
+struct Slot {
+    name: Name,
+    kind: Name,
+    zone: Name,
+    spot: bool,
+    whole: Size,
+    speed: f64,
+    /// Free now, less what is held for blocked heads.
+    free: Size,
+    /// Free once the stops under way are through, less what is held.
+    soon: Size,
+    room: usize,
+}
+
+/// Tasks that have to give way, with their machines.
+type Victims = Vec<(Name, Task)>;
+
+/// A start that a pass decides.
+struct Pick {
+    slot: usize,
+    how: How,
+}
+
+impl Cluster {
+    /// One pass over the queue.  Decides starts and stops, and returns what
+    /// found no place.
+    pub fn place(&mut self, now: Instant) -> Vec<Want> {
+        self.stir = false;
+        let policy = self.policy.clone();
+        let mut slots: Vec<Slot> = self
+            .machines
+            .values()
+            .filter(|m| m.usable(now, &policy) && m.size.cpus > 0.0)
+            .map(|m| {
+                let free = m.free();
+                let mut soon = free;
+                for p in m.tasks.values().filter(|p| p.present() && p.halt.is_some()) {
+                    soon.give(&p.spec.size());
+                }
+                Slot {
+                    name: m.name.clone(),
+                    kind: m.kind.clone(),
+                    zone: m.zone.clone(),
+                    spot: m.spot,
+                    whole: m.size,
+                    speed: m.speed,
+                    free,
+                    soon,
+                    room: policy.most_tasks - (m.tasks.len() + m.exited.len()),
+                }
+            })
+            .collect();
+        let mut used = self.usage();
+        let queue = self.ordered_queue(&used, now);
+        let mut wants = Vec::new();
+        let mut head_holds = false;
+        let waiting: f64 =
+            queue.iter().filter_map(|id| self.jobs.get(id)).map(|j| j.spec.cpus * f64::from(j.todo.len())).sum();
+        for (at, id) in queue.iter().enumerate() {
+            let Some(job) = self.jobs.get(id) else { continue };
+            let spec = job.spec.clone();
+            let weather = Weather {
+                variance: tai2::variance(slots.iter().map(|s| s.speed)),
+                load: waiting / slots.iter().map(|s| s.free.cpus.max(0.0)).sum::<f64>().max(1.0),
+                variance_threshold: policy.variance_threshold,
+                load_threshold: policy.load_threshold,
+            };
+            let later = self.lookahead(&queue[at..], policy.dry_run_tasks);
+            let limit = self.teams.get(&spec.team).copied().unwrap_or_default();
+            let left = match spec.shape {
+                Shape::Gang => self.place_gang(id, &mut slots, &limit, &mut used, &weather, &later, now),
+                _ => self.place_each(id, &mut slots, &limit, &mut used, &weather, &later, now),
+            };
+            let Some((count, zones)) = left else { continue };
+            // no room: hold what is being freed, or make room
+            let most = match spec.shape {
+                Shape::Array => count.min(policy.dry_run_tasks as u32 / 4),
+                _ => count,
+            };
+            let held = self.hold_or_preempt(&spec, most, &zones, &mut slots, &mut used, &limit, now);
+            if held < most && !head_holds {
+                head_holds = true;
+                // a blocked head keeps its turn: the room that it will fit
+                // into first is not given to later tasks
+                let fits = slots.iter_mut().filter(|s| {
+                    spec.allows(&s.kind, &s.zone, s.spot)
+                        && s.whole.holds(&spec.size())
+                        && zone_ok(&spec, &s.zone, &zones)
+                });
+                if let Some(s) = fits.max_by(|a, b| a.soon.cpus.total_cmp(&b.soon.cpus)) {
+                    s.free.take(&spec.size());
+                    s.soon.take(&spec.size());
+                }
+            }
+            if let Some(j) = self.jobs.get_mut(id) {
+                j.why = if held > 0 { "room is being made" } else { "no machine has room" };
+            }
+            wants.push(Want { spec, count, zones });
+        }
+        wants
+    }
+
+    /// Rank, then work within a guarantee before borrowed use, then arrival.
+    fn ordered_queue(&self, used: &HashMap<Name, Size>, now: Instant) -> Vec<Name> {
+        let mut q = self.queue();
+        q.retain(|id| self.jobs.get(id).is_some_and(|j| j.wait_until.is_none_or(|t| t <= now)));
+        let borrowed = |id: &Name| {
+            let Some(j) = self.jobs.get(id) else { return true };
+            let limit = self.teams.get(&j.spec.team).copied().unwrap_or_default();
+            !within_guarantee(&limit, used.get(&j.spec.team), &j.spec.size())
+        };
+        q.sort_by_cached_key(|id| (self.jobs.get(id).map(|j| j.spec.rank), borrowed(id)));
+        q
+    }
+
+    /// Sizes of the next tasks behind the head, for the dry run.
+    fn lookahead(&self, queue: &[Name], most: usize) -> Vec<Size> {
+        let mut sizes = Vec::new();
+        for (i, id) in queue.iter().enumerate() {
+            let Some(j) = self.jobs.get(id) else { continue };
+            let n = (j.todo.len() as usize).saturating_sub(usize::from(i == 0));
+            sizes.extend(std::iter::repeat_n(j.spec.size(), n.min(most - sizes.len())));
+            if sizes.len() >= most {
+                break;
+            }
+        }
+        sizes
+    }
+
+    /// Tasks of a job that are or may be in each zone.
+    fn zones_of(&self, id: &Name) -> BTreeMap<Name, u32> {
+        let mut zones = BTreeMap::new();
+        let Some(job) = self.jobs.get(id) else { return zones };
+        for (name, task) in job.placed() {
+            // exited tasks are off their machine
+            if let Some(m) = self.machines.get(&name).filter(|m| m.tasks.get(&task).is_some_and(|p| p.present())) {
+                *zones.entry(m.zone.clone()).or_insert(0) += 1;
+            }
+        }
+        zones
+    }
+
+    /// Places tasks of an array or service one by one.  Returns how many
+    /// found no room, or `None` if room is not what they lack.
+    #[allow(clippy::too_many_arguments)]
+    fn place_each(
+        &mut self,
+        id: &Name,
+        slots: &mut [Slot],
+        limit: &TeamLimit,
+        used: &mut HashMap<Name, Size>,
+        weather: &Weather,
+        later: &[Size],
+        now: Instant,
+    ) -> Option<(u32, BTreeMap<Name, u32>)> {
+        let spec = self.jobs.get(id)?.spec.clone();
+        let size = spec.size();
+        let mut zones = self.zones_of(id);
+        loop {
+            let job = self.jobs.get_mut(id)?;
+            let index = job.todo.iter().next()?;
+            let team = used.entry(spec.team.clone()).or_default();
+            if !limit.allows(team, &size) {
+                job.why = "its team is at its limit";
+                return None;
+            }
+            let Some(p) = self.choose(&spec, slots, &zones, weather, later) else {
+                let mut room = limit_room(limit, used.get(&spec.team), &size, self.jobs.get(id)?.todo.len());
+                room = room.min(self.jobs.get(id)?.todo.len());
+                return Some((room, zones));
+            };
+            used.entry(spec.team.clone()).or_default().give(&size);
+            let s = &mut slots[p.slot];
+            s.free.take(&size);
+            s.soon.take(&size);
+            s.room -= 1;
+            *zones.entry(s.zone.clone()).or_insert(0) += 1;
+            let (name, attempt) = (s.name.clone(), self.new_attempt());
+            let task = Task { job: id.clone(), index };
+            log::debug!(
+                "{task} goes to {name}: {:?}, variance {:.3}, load {:.2}",
+                p.how,
+                weather.variance,
+                weather.load
+            );
+            if !self.assign(&task, &name, attempt, now) {
+                return None;
+            }
+        }
+    }
+
+    /// Places a gang: all of its tasks, or none.  Before its start, lost
+    /// tasks are replaced under the same attempt.
+    #[allow(clippy::too_many_arguments)]
+    fn place_gang(
+        &mut self,
+        id: &Name,
+        slots: &mut [Slot],
+        limit: &TeamLimit,
+        used: &mut HashMap<Name, Size>,
+        weather: &Weather,
+        later: &[Size],
+        now: Instant,
+    ) -> Option<(u32, BTreeMap<Name, u32>)> {
+        let job = self.jobs.get(id)?;
+        let spec = job.spec.clone();
+        let size = spec.size();
+        // what of it is still somewhere
+        let placed = job.placed();
+        let old: Vec<&Place> = placed.iter().filter_map(|(m, t)| self.machines.get(m)?.tasks.get(t)).collect();
+        let replace = !old.is_empty();
+        let keeps = |p: &&Place| {
+            matches!(p.phase, Phase::Ordered | Phase::Pulling | Phase::Gathering)
+                && p.halt.is_none()
+                && !p.former
+                && p.attempt == job.attempt
+        };
+        if replace && !old.iter().all(keeps) {
+            // the last attempt must be off its machines first
+            self.jobs.get_mut(id)?.why = "its last attempt is not over";
+            return None;
+        }
+        let todo: Vec<u32> = job.todo.iter().collect();
+        let mut whole = used.get(&spec.team).copied().unwrap_or_default();
+        for _ in 0..todo.len().saturating_sub(1) {
+            whole.give(&size);
+        }
+        if !limit.allows(&whole, &size) {
+            self.jobs.get_mut(id)?.why = "its team is at its limit";
+            return None;
+        }
+        let present = self.zones_of(id);
+        // with one zone for all, each zone is tried; else any
+        let mut tries: Vec<Option<Name>> = vec![None];
+        if spec.one_zone && present.is_empty() {
+            let mut all: Vec<Name> = slots.iter().map(|s| s.zone.clone()).collect();
+            all.sort();
+            all.dedup();
+            tries = all.into_iter().map(Some).collect();
+        }
+        let mut best: Option<(usize, Vec<Pick>)> = None;
+        for only in tries {
+            let mut trial: Vec<Slot> = slots
+                .iter()
+                .map(|s| Slot { name: s.name.clone(), kind: s.kind.clone(), zone: s.zone.clone(), ..*s })
+                .collect();
+            let mut zones = present.clone();
+            let (mut picks, mut missing) = (Vec::new(), 0);
+            for _ in &todo {
+                for s in trial.iter_mut().filter(|s| only.as_ref().is_some_and(|z| *z != s.zone)) {
+                    s.room = 0;
+                }
+                let Some(p) = self.choose(&spec, &trial, &zones, weather, later) else { break };
+                let s = &mut trial[p.slot];
+                s.free.take(&size);
+                s.room -= 1;
+                *zones.entry(s.zone.clone()).or_insert(0) += 1;
+                missing += usize::from(self.image_tier(&spec, &s.name) > 0);
+                picks.push(p);
+            }
+            if picks.len() == todo.len() && best.as_ref().is_none_or(|b| missing < b.0) {
+                best = Some((missing, picks));
+            }
+        }
+        let Some((_, picks)) = best else {
+            return Some((todo.len() as u32, present));
+        };
+        let attempt = if replace { self.jobs.get(id)?.attempt } else { self.new_attempt() };
+        self.jobs.get_mut(id)?.attempt = attempt;
+        for (index, p) in todo.into_iter().zip(picks) {
+            let s = &mut slots[p.slot];
+            s.free.take(&size);
+            s.soon.take(&size);
+            s.room -= 1;
+            used.entry(spec.team.clone()).or_default().give(&size);
+            let task = Task { job: id.clone(), index };
+            log::debug!(
+                "{task} goes to {}: {:?}, variance {:.3}, load {:.2}",
+                s.name,
+                p.how,
+                weather.variance,
+                weather.load
+            );
+            let name = s.name.clone();
+            self.assign(&task, &name, attempt, now);
+        }
+        None
+    }
+
+    /// 0: the machine holds the image; 1: it is fetching it; 2: neither.
+    fn image_tier(&self, spec: &Spec, machine: &Name) -> u8 {
+        let Some(m) = self.machines.get(machine) else { return 2 };
+        if m.has_image(&spec.image) {
+            return 0;
+        }
+        let fetching = |p: &Place| p.spec.image == spec.image && p.present();
+        if m.tasks.values().any(fetching) {
+            1
+        } else {
+            2
+        }
+    }
+
+    /// The machine for one task: among the allowed ones those that start it
+    /// soonest (the image is there), then spot before ordinary for jobs that
+    /// may, and within these by the paper's switch.
+    fn choose(
+        &self,
+        spec: &Spec,
+        slots: &[Slot],
+        zones: &BTreeMap<Name, u32>,
+        weather: &Weather,
+        later: &[Size],
+    ) -> Option<Pick> {
+        let size = spec.size();
+        let failed = self.jobs.get(&spec.id).map(|j| &j.failed_on);
+        let mut best: Vec<Candidate> = Vec::new();
+        let mut tier = (true, u8::MAX, true);
+        let candidate = |i: usize, s: &Slot| Candidate { at: i, free: s.free, whole: s.whole, speed: s.speed };
+        for (i, s) in slots.iter().enumerate() {
+            if s.room == 0
+                || !s.free.holds(&size)
+                || !spec.allows(&s.kind, &s.zone, s.spot)
+                || !zone_ok(spec, &s.zone, zones)
+            {
+                continue;
+            }
+            let t = (failed.is_some_and(|f| f.contains(&s.name)), self.image_tier(spec, &s.name), spec.spot && !s.spot);
+            if t < tier || best.is_empty() {
+                best.clear();
+                tier = t;
+            }
+            if t == tier {
+                best.push(candidate(i, s));
+            }
+        }
+        let all: Vec<Candidate> = match best.len() {
+            0 => return None,
+            1 => Vec::new(),
+            _ => slots.iter().enumerate().map(|(i, s)| candidate(i, s)).collect(),
+        };
+        let (c, how) = tai2::pick(&best, &all, &size, later, weather)?;
+        Some(Pick { slot: c.at, how })
+    }
+
+    /// For tasks that found no room: holds room that stops under way will
+    /// free, or stops work that has to give way.  Returns how many tasks will
+    /// have a place.
+    #[allow(clippy::too_many_arguments)]
+    fn hold_or_preempt(
+        &mut self,
+        spec: &Arc<Spec>,
+        count: u32,
+        zones: &BTreeMap<Name, u32>,
+        slots: &mut [Slot],
+        used: &mut HashMap<Name, Size>,
+        limit: &TeamLimit,
+        now: Instant,
+    ) -> u32 {
+        let size = spec.size();
+        let mut zones = zones.clone();
+        let mut plan: Vec<(usize, Victims)> = Vec::new();
+        let mut entitled = used.get(&spec.team).copied().unwrap_or_default();
+        let mut spared = used.clone();
+        let mut soon: Vec<Size> = slots.iter().map(|s| s.soon).collect();
+        let mut taken: std::collections::HashSet<(Name, Task)> = std::collections::HashSet::new();
+        for _ in 0..count {
+            let within = within_guarantee(limit, Some(&entitled), &size);
+            let mut best: Option<(f64, usize, Victims)> = None;
+            for (i, s) in slots.iter().enumerate() {
+                if !spec.allows(&s.kind, &s.zone, s.spot) || !s.whole.holds(&size) || !zone_ok(spec, &s.zone, &zones) {
+                    continue;
+                }
+                if soon[i].holds(&size) {
+                    if best.as_ref().is_none_or(|b| b.0 > 0.0) {
+                        best = Some((0.0, i, Vec::new()));
+                    }
+                    continue;
+                }
+                let Some(m) = self.machines.get(&s.name) else { continue };
+                let mut victims: Vec<(f64, &Task, &Place)> = m
+                    .tasks
+                    .iter()
+                    .filter(|(t, p)| {
+                        p.present() && p.halt.is_none() && !p.former && !taken.contains(&(s.name.clone(), (*t).clone()))
+                    })
+                    .filter(|(_, p)| gives_way(spec, within, p, &self.teams, &spared))
+                    .map(|(t, p)| (loss(p, now), t, p))
+                    .collect();
+                victims.sort_by(|a, b| b.2.spec.rank.cmp(&a.2.spec.rank).then(a.0.total_cmp(&b.0)));
+                let (mut room, mut cost, mut list) = (soon[i], 1e-3, Vec::new());
+                for (c, t, p) in victims {
+                    if room.holds(&size) {
+                        break;
+                    }
+                    room.give(&p.spec.size());
+                    cost += c;
+                    list.push((s.name.clone(), t.clone()));
+                }
+                // an image to fetch delays the start: prefer where it is
+                cost += f64::from(self.image_tier(spec, &s.name)) * spec.image_gb;
+                if room.holds(&size) && best.as_ref().is_none_or(|b| cost < b.0) {
+                    best = Some((cost, i, list));
+                }
+            }
+            let Some((_, i, list)) = best else { break };
+            for (n, t) in &list {
+                if let Some(p) = self.machines.get(n).and_then(|m| m.tasks.get(t)) {
+                    soon[i].give(&p.spec.size());
+                    spared.entry(p.spec.team.clone()).or_default().take(&p.spec.size());
+                    taken.insert((n.clone(), t.clone()));
+                }
+            }
+            soon[i].take(&size);
+            entitled.give(&size);
+            *zones.entry(slots[i].zone.clone()).or_insert(0) += 1;
+            plan.push((i, list));
+        }
+        // a gang is helped whole or not at all
+        if spec.shape == Shape::Gang && (plan.len() as u32) < count {
+            return 0;
+        }
+        for (i, list) in &plan {
+            let s = &mut slots[*i];
+            s.free.take(&size);
+            s.soon.take(&size);
+            for (n, t) in list {
+                log::info!("{t} on {n} gives way to {}", spec.id);
+                if let Some(p) = self.machines.get(n).and_then(|m| m.tasks.get(t)) {
+                    s.soon.give(&p.spec.size());
+                }
+                self.stop_to_move(n, t, now);
+            }
+        }
+        plan.len() as u32
+    }
+
+    /// Stops a task that shall run elsewhere or later; a gang is stopped
+    /// whole, so that all its tasks save together.
+    pub fn stop_to_move(&mut self, machine: &Name, task: &Task, now: Instant) {
+        let Some(p) = self.machines.get(machine).and_then(|m| m.tasks.get(task)) else { return };
+        let grace = if p.spec.checkpoint_s > 0.0 { p.spec.save_s + 1.0 } else { 0.0 };
+        if p.spec.shape != Shape::Gang {
+            self.halt(machine, task, grace, now);
+            return;
+        }
+        let Some(job) = self.jobs.get(&task.job) else { return };
+        for (m, t) in job.placed() {
+            self.halt(&m, &t, grace, now);
+        }
+    }
+}
+
+/// How many more tasks of this size the team's limit lets run.
+fn limit_room(limit: &TeamLimit, used: Option<&Size>, size: &Size, most: u32) -> u32 {
+    let mut used = used.copied().unwrap_or_default();
+    let mut n = 0;
+    while n < most.min(1000) && limit.allows(&used, size) {
+        used.give(size);
+        n += 1;
+    }
+    n
+}
+
+/// Whether a task of this size fits into what the team is guaranteed.
+fn within_guarantee(limit: &TeamLimit, used: Option<&Size>, size: &Size) -> bool {
+    let used = used.copied().unwrap_or_default();
+    let g = limit.guarantee;
+    let ok = |g: f64, u: f64, s: f64| g <= 0.0 || u + s <= g + 1e-6;
+    (g.cpus > 0.0 || g.gpus > 0.0) && ok(g.cpus, used.cpus, size.cpus) && ok(g.gpus, used.gpus, size.gpus)
+}
+
+/// Whether a task has to give way: to a higher rank, or, where it is work
+/// beyond its team's guarantee, to another team within its own.
+fn gives_way(to: &Spec, within: bool, p: &Place, teams: &HashMap<Name, TeamLimit>, used: &HashMap<Name, Size>) -> bool {
+    if p.spec.rank > to.rank {
+        return true;
+    }
+    if !within || p.spec.team == to.team || p.spec.shape == Shape::Service {
+        return false;
+    }
+    let limit = teams.get(&p.spec.team).copied().unwrap_or_default();
+    let mut rest = used.get(&p.spec.team).copied().unwrap_or_default();
+    rest.take(&p.spec.size());
+    // all of it lies beyond the guarantee
+    let g = limit.guarantee;
+    (g.cpus > 0.0 && rest.cpus >= g.cpus) || (g.gpus > 0.0 && rest.gpus >= g.gpus)
+}
+
+/// Work lost by stopping a task now, in core seconds.
+fn loss(p: &Place, now: Instant) -> f64 {
+    let ran = p.running_since.map_or(0.0, |t| now.duration_since(t).as_secs_f64());
+    let lost = if p.spec.checkpoint_s > 0.0 { ran.min(p.spec.save_s) } else { ran };
+    1.0 + lost * p.spec.cpus
+}
+
+/// Whether one more task of the job may be in this zone.
+pub fn zone_ok(spec: &Spec, zone: &Name, zones: &BTreeMap<Name, u32>) -> bool {
+    if spec.one_zone && zones.iter().any(|(z, n)| *n > 0 && z != zone) {
+        return false;
+    }
+    zones.get(zone).copied().unwrap_or(0) < spec.zone_cap()
+}
--- /dev/null
+++ b/src/policy.rs
@@ -0,0 +1,84 @@
+//! The one home of tunables.  Each is a ratio to a figure of the settings
+//! where that can be.
+
+use std::time::Duration;
+
+use crate::config::Config;
+
+/// All tunables, worked out for one deployment.
+#[derive(Debug, Clone)]
+pub struct Policy {
+    /// Life of the leader's lease.
+    pub ttl: Duration,
+    /// Interval of renewals.
+    pub renew: Duration,
+    /// A machine is used while its newest report is younger than this.
+    pub fresh: Duration,
+    /// A machine silent for so long is returned, and its tasks replaced.
+    pub silent: Duration,
+    /// A leader that hears no worker for so long hands over.
+    pub deaf: Duration,
+    /// Share of the machines that may be silent before silence is taken for
+    /// the network's.
+    pub silent_share: f64,
+    /// Most tasks on a machine, so that its record fits into a value.
+    pub most_tasks: usize,
+    /// An empty machine is returned after so long.
+    pub idle: Duration,
+    /// A machine that is not up after so many times its usual boot time is
+    /// given back.
+    pub boot_factor: f64,
+    /// Heterogeneity from which machines count as different (the paper's).
+    pub variance_threshold: f64,
+    /// Load from which the queue counts as long (the paper's).
+    pub load_threshold: f64,
+    /// Tasks that a dry run looks at.
+    pub dry_run_tasks: usize,
+    /// Interval of the cloud's list.
+    pub list_every: Duration,
+    /// How long a list may lag.
+    pub list_lag: Duration,
+    /// No capacity: how long that kind is not asked for again.
+    pub capacity_rest: Duration,
+    /// Queued work of arrays is to be done within this.
+    pub horizon_s: f64,
+    /// Rest of a machine or a job after a failure, doubled by each further.
+    pub failure_rest: Duration,
+    /// Within this a cancelled job's tasks have to be gone.
+    pub cancel: Duration,
+    /// How long a machine that is gone is remembered.
+    pub tombstone: Duration,
+    /// Drift of a steady clock.
+    pub drift: f64,
+}
+
+impl Policy {
+    /// The defaults for a deployment.
+    pub fn new(config: &Config) -> Policy {
+        let w = &config.deployment.workers;
+        let s = Duration::from_secs_f64;
+        let ttl = (w.lease_s / 8.0).max(2.0);
+        Policy {
+            ttl: s(ttl),
+            renew: s(ttl / 5.0),
+            fresh: s(w.report_s * 2.5),
+            silent: s((w.report_s * 6.0).min(w.lease_s * 0.75)),
+            deaf: s(w.report_s * 3.5),
+            silent_share: 0.34,
+            most_tasks: ((config.deployment.state.value_kb * 1024.0 / 72.0) as usize).max(4),
+            idle: s(w.lease_s * 1.7),
+            boot_factor: 4.0,
+            variance_threshold: 0.05,
+            load_threshold: 1.0,
+            dry_run_tasks: 64,
+            list_every: s((config.deployment.cloud.list_lag_s / 2.0).clamp(1.0, 5.0)),
+            list_lag: s(config.deployment.cloud.list_lag_s),
+            capacity_rest: s(w.lease_s / 2.0),
+            horizon_s: w.lease_s * 2.0,
+            failure_rest: s(w.report_s * 2.0),
+            cancel: s(w.cancel_s),
+            tombstone: s(w.lease_s * 20.0),
+            drift: 0.0005,
+        }
+    }
+}
--- /dev/null
+++ b/src/store.rs
@@ -0,0 +1,410 @@
+//! The state service: requests within the shared rate, transactions that are
+//! harmless when they arrive late, the watch, and the stored layout.
+//!
+//! No answer to a transaction means that it may yet be applied.  So every
+//! write is guarded, on the leader key and on the stamp of the key itself:
+//! a late one finds other stamps and does nothing.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use rmpv::Value;
+use serde::{Deserialize, Serialize};
+
+use crate::config::State as Limits;
+use crate::http;
+
+/// Keys.  The first part is the version of the layout; what lies below
+/// `w/` is watched by every controller, the rest only read by new leaders.
+pub mod key {
+    /// Everything the controllers watch.
+    pub const WATCHED: &str = "c1/w/";
+    /// Submissions.
+    pub const JOB: &str = "c1/w/job/";
+    /// Final states.
+    pub const FATE: &str = "c1/w/fate/";
+    /// The leader, on its lease.
+    pub const LEADER: &str = "c1/w/leader";
+    /// The last term.
+    pub const TERM: &str = "c1/p/term";
+    /// Machine types as last seen.
+    pub const TYPES: &str = "c1/w/types";
+    /// Completed tasks by job and chunk.
+    pub const DONE: &str = "c1/p/done/";
+    /// What may be on each machine.
+    pub const MACHINE: &str = "c1/p/machine/";
+    /// Rentals asked for, by charter.
+    pub const RENTAL: &str = "c1/p/rental/";
+}
+
+/// A compare in a transaction.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Guard {
+    /// Key.
+    pub path: String,
+    /// Stamp it must have, 0 for absence.
+    pub stamp: u64,
+}
+
+/// A change in a transaction.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Write {
+    /// Puts a value.
+    Set {
+        /// Key.
+        set: String,
+        /// Value.
+        data: Value,
+        /// Lease it hangs on.
+        #[serde(skip_serializing_if = "Option::is_none", default)]
+        hold: Option<u64>,
+    },
+    /// Removes a key.
+    Delete {
+        /// Key.
+        delete: String,
+    },
+}
+
+impl Write {
+    /// A put without a lease.
+    pub fn set<T: Serialize>(path: impl Into<String>, value: &T) -> Write {
+        let data = rmpv::decode::read_value(&mut &http::encode(value)[..]).unwrap_or(Value::Nil);
+        Write::Set { set: path.into(), data, hold: None }
+    }
+    /// A put on a lease.
+    pub fn set_on<T: Serialize>(path: impl Into<String>, value: &T, hold: u64) -> Write {
+        match Write::set(path, value) {
+            Write::Set { set, data, .. } => Write::Set { set, data, hold: Some(hold) },
+            w => w,
+        }
+    }
+    /// A delete.
+    pub fn delete(path: impl Into<String>) -> Write {
+        Write::Delete { delete: path.into() }
+    }
+}
+
+/// A transaction.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Txn {
+    /// Conditions.
+    pub guards: Vec<Guard>,
+    /// Changes.
+    #[serde(skip_serializing_if = "Vec::is_empty", default)]
+    pub writes: Vec<Write>,
+}
+
+impl Txn {
+    /// Adds a condition.
+    pub fn guard(&mut self, path: impl Into<String>, stamp: u64) {
+        let path = path.into();
+        if !self.guards.iter().any(|g| g.path == path) {
+            self.guards.push(Guard { path, stamp });
+        }
+    }
+}
+
+/// A key with its value.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Item {
+    /// Key.
+    pub path: String,
+    /// Value.
+    pub data: Value,
+    /// Revision of its last change.
+    pub stamp: u64,
+}
+
+/// A change seen by the watch.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Event {
+    /// Key put.
+    #[serde(default)]
+    pub set: Option<String>,
+    /// Key removed.
+    #[serde(default)]
+    pub delete: Option<String>,
+    /// New value.
+    #[serde(default)]
+    pub data: Option<Value>,
+    /// Revision.
+    #[serde(default)]
+    pub stamp: u64,
+}
+
+#[derive(Deserialize)]
+struct Failed {
+    #[serde(default)]
+    failed: Vec<String>,
+}
+#[derive(Deserialize)]
+struct Epoch {
+    #[serde(default)]
+    epoch: u64,
+}
+#[derive(Deserialize)]
+struct Page {
+    rows: Vec<Item>,
+    #[serde(default)]
+    truncated: bool,
+    #[serde(default)]
+    epoch: u64,
+}
+#[derive(Deserialize)]
+struct Changes {
+    epoch: u64,
+    #[serde(default)]
+    news: Vec<Event>,
+}
+#[derive(Deserialize, Serialize)]
+struct Lease {
+    hold: u64,
+}
+#[derive(Serialize)]
+struct Ttl {
+    #[serde(rename = "ttlMs")]
+    ttl_ms: u64,
+}
+
+/// Why the state service did not do it.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// No answer: it may have been, or may still be, carried out.
+    #[error("in doubt: {0}")]
+    Doubt(#[from] http::Error),
+    /// Refused: not carried out.
+    #[error("refused with {0}")]
+    Refused(u16),
+    /// A lease is gone.
+    #[error("no such lease")]
+    NoLease,
+    /// The watch is too old.
+    #[error("the watch is too old")]
+    Gone,
+}
+
+/// What a transaction came to.
+#[derive(Debug)]
+pub enum Outcome {
+    /// Carried out at this revision.
+    Done(u64),
+    /// Some keys had other stamps.
+    Conflict(Vec<String>),
+}
+
+/// Decodes a stored value; a strange one is logged and passed over.
+pub fn read_value<T: serde::de::DeserializeOwned>(path: &str, data: Value) -> Option<T> {
+    // by way of bytes: the crate's direct way does not know names of variants
+    let mut bytes = Vec::new();
+    let read = rmpv::encode::write_value(&mut bytes, &data)
+        .map_err(|e| e.to_string())
+        .and_then(|()| rmp_serde::from_slice(&bytes).map_err(|e| e.to_string()));
+    match read {
+        Ok(v) => Some(v),
+        Err(e) => {
+            log::error!("stored value at {path} cannot be read: {e}");
+            None
+        }
+    }
+}
+
+/// A budget of calls a second, with a burst.
+#[derive(Debug)]
+pub struct Budget {
+    rate: f64,
+    burst: f64,
+    have: f64,
+    at: Instant,
+}
+
+impl Budget {
+    /// A full budget.
+    pub fn new(rate: f64, burst: f64, now: Instant) -> Budget {
+        Budget { rate, burst, have: burst, at: now }
+    }
+    /// Takes `n`, going into debt if need be; how long to wait first.
+    pub fn take(&mut self, n: f64, now: Instant) -> Duration {
+        self.have = (self.have + now.duration_since(self.at).as_secs_f64() * self.rate).min(self.burst);
+        self.at = now;
+        self.have -= n;
+        if self.have >= 0.0 {
+            Duration::ZERO
+        } else {
+            Duration::from_secs_f64(-self.have / self.rate)
+        }
+    }
+}
+
+/// The client.
+pub struct Store {
+    addr: SocketAddr,
+    http: http::Client,
+    calls: Mutex<Budget>,
+    writes: Mutex<Budget>,
+    /// Most puts and deletes of one transaction of ours.
+    pub most_writes: usize,
+    /// Most conditions of one transaction.
+    pub most_guards: usize,
+    last_served: Mutex<Instant>,
+}
+
+/// How long an ordinary request may take.
+const LIMIT: Duration = Duration::from_millis(1500);
+
+impl Store {
+    /// A client that keeps to this controller's share of the limits.
+    pub fn new(addr: SocketAddr, limits: &Limits, now: Instant) -> Store {
+        // the leader writes most, and only one controller leads: each may use
+        // a bit over half, and the service's 429 settles the rest
+        let (calls, writes) = (limits.rps * 0.5, limits.write_rps * 0.55);
+        let most_writes = limits.txn_ops.min((writes as usize).max(1));
+        Store {
+            addr,
+            http: http::Client::default(),
+            calls: Mutex::new(Budget::new(calls, calls, now)),
+            writes: Mutex::new(Budget::new(writes, writes, now)),
+            most_writes,
+            most_guards: limits.txn_ops * 4,
+            last_served: Mutex::new(now),
+        }
+    }
+
+    async fn pace(&self, writes: usize) {
+        let now = Instant::now();
+        let mut wait = self.calls.lock().unwrap_or_else(|e| e.into_inner()).take(1.0, now);
+        if writes > 0 {
+            wait = wait.max(self.writes.lock().unwrap_or_else(|e| e.into_inner()).take(writes as f64, now));
+        }
+        if !wait.is_zero() {
+            smol::Timer::after(wait).await;
+        }
+    }
+
+    /// When the state service last carried out something for us.
+    pub fn last_served(&self) -> Instant {
+        *self.last_served.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    async fn call(
+        &self,
+        method: &str,
+        target: &str,
+        body: Option<&[u8]>,
+        limit: Duration,
+    ) -> Result<(u16, Vec<u8>), Error> {
+        let (status, body) = self.http.send(self.addr, method, target, body, limit).await?;
+        match status {
+            429 | 500.. => Err(Error::Refused(status)),
+            _ => {
+                *self.last_served.lock().unwrap_or_else(|e| e.into_inner()) = Instant::now();
+                Ok((status, body))
+            }
+        }
+    }
+
+    /// One transaction, once.
+    pub async fn txn(&self, txn: &Txn) -> Result<Outcome, Error> {
+        self.pace(txn.writes.len()).await;
+        let (status, body) = self.call("POST", "/txn", Some(&http::encode(txn)), LIMIT).await?;
+        match status {
+            200 => Ok(Outcome::Done(http::decode::<Epoch>(&body)?.epoch)),
+            409 => Ok(Outcome::Conflict(http::decode::<Failed>(&body)?.failed)),
+            400 if String::from_utf8_lossy(&body).contains("no such lease") => Err(Error::NoLease),
+            s => {
+                log::error!("state service answers {s} to a transaction of {} writes", txn.writes.len());
+                Err(Error::Refused(s))
+            }
+        }
+    }
+
+    /// One key.
+    pub async fn get(&self, path: &str) -> Result<Option<Item>, Error> {
+        self.pace(0).await;
+        match self.call("GET", &format!("/kv/{path}"), None, LIMIT).await? {
+            (200, body) => Ok(Some(http::decode(&body)?)),
+            (404, _) => Ok(None),
+            (s, _) => Err(Error::Refused(s)),
+        }
+    }
+
+    /// All keys with a prefix, and the revision of the *first* page: what
+    /// changes while the pages are read is seen again by a watch from there.
+    pub async fn list(&self, prefix: &str) -> Result<(Vec<Item>, u64), Error> {
+        let (mut all, mut epoch, mut after) = (Vec::new(), None, String::new());
+        loop {
+            self.pace(0).await;
+            let since = if after.is_empty() { String::new() } else { format!("&since={after}") };
+            let target = format!("/kv?under={prefix}{since}&page=500");
+            let (status, body) = self.call("GET", &target, None, LIMIT * 2).await?;
+            if status != 200 {
+                return Err(Error::Refused(status));
+            }
+            let page: Page = http::decode(&body)?;
+            epoch.get_or_insert(page.epoch);
+            let last = page.rows.last().map(|r| r.path.clone());
+            all.extend(page.rows);
+            match last {
+                Some(l) if page.truncated => after = l,
+                _ => return Ok((all, epoch.unwrap_or(0))),
+            }
+        }
+    }
+
+    /// Waits for changes after a revision.
+    pub async fn changes(&self, prefix: &str, since: u64, block: Duration) -> Result<(Vec<Event>, u64), Error> {
+        self.pace(0).await;
+        let target = format!("/changes?under={prefix}&since={since}&blockMs={}", block.as_millis());
+        match self.call("GET", &target, None, block * 3 + LIMIT).await? {
+            (200, body) => {
+                let c: Changes = http::decode(&body)?;
+                Ok((c.news, c.epoch))
+            }
+            (410, _) => Err(Error::Gone),
+            (s, _) => Err(Error::Refused(s)),
+        }
+    }
+
+    /// A new lease.
+    pub async fn grant(&self, ttl: Duration) -> Result<u64, Error> {
+        self.pace(0).await;
+        let body = http::encode(&Ttl { ttl_ms: ttl.as_millis() as u64 });
+        match self.call("POST", "/leases", Some(&body), LIMIT).await? {
+            (200, body) => Ok(http::decode::<Lease>(&body)?.hold),
+            (s, _) => Err(Error::Refused(s)),
+        }
+    }
+
+    /// Renews a lease; not held back by the budget, for all else hangs on it.
+    pub async fn renew(&self, hold: u64, limit: Duration) -> Result<(), Error> {
+        match self.call("POST", &format!("/leases/{hold}/renew"), Some(&[0x80]), limit).await? {
+            (200..=299, _) => Ok(()),
+            (404, _) => Err(Error::NoLease),
+            (s, _) => Err(Error::Refused(s)),
+        }
+    }
+
+    /// Ends a lease.
+    pub async fn revoke(&self, hold: u64) -> Result<(), Error> {
+        self.call("DELETE", &format!("/leases/{hold}"), None, LIMIT).await.map(|_| ())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_budget_gives_its_burst_and_then_its_rate() {
+        let t = Instant::now();
+        let mut b = Budget::new(10.0, 5.0, t);
+        assert!(b.take(5.0, t).is_zero());
+        assert_eq!(b.take(1.0, t), Duration::from_millis(100));
+        // the debt is paid by time; the burst is never exceeded
+        assert!(b.take(1.0, t + Duration::from_millis(300)).is_zero());
+        assert!(b.take(5.0, t + Duration::from_secs(60)).is_zero());
+        assert!(!b.take(0.5, t + Duration::from_secs(60)).is_zero());
+    }
+}
--- /dev/null
+++ b/src/workers.rs
@@ -0,0 +1,450 @@
+//! Reports and the commands that answer them.
+//!
+//! Commands travel in answers to reports only.  A worker has one report in
+//! flight and drops answers that come late or for an earlier session, so its
+//! next report closes the answer before it: what that report does not list
+//! under the current session is not there, and will not come.
+
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::cluster::{Cluster, Exited, Machine, Phase, Place};
+use crate::model::*;
+
+/// A task as its worker reports it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Reported {
+    /// Task.
+    #[serde(rename = "piece")]
+    pub task: Task,
+    /// Attempt.
+    #[serde(rename = "try")]
+    pub attempt: u64,
+    /// State.
+    #[serde(rename = "stage")]
+    pub state: TaskState,
+    /// Why it ended.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cause: Option<Cause>,
+    /// Its progress was saved.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub saved: Option<bool>,
+}
+
+/// States of a task on its machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum TaskState {
+    /// Waits for its image.
+    Pulling,
+    /// Waits for its gang.
+    Gathering,
+    /// Runs.
+    Running,
+    /// Saves.
+    Flushing,
+    /// Ended.
+    Ended,
+}
+
+/// Why a task ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Cause {
+    /// Completed.
+    Done,
+    /// Stopped by command.
+    Stopped,
+    /// Another task of the gang is gone.
+    MatesGone,
+    /// The gang was not complete in time.
+    Alone,
+    /// Failed.
+    Error,
+    /// Refused: no room.
+    NoRoom,
+    /// Refused: here with another attempt.
+    Busy,
+    /// Refused: no such job.
+    NoSuch,
+    /// A cause this version does not know; the task has ended all the same.
+    #[serde(other)]
+    Unknown,
+}
+
+/// A report.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Machine.
+    #[serde(rename = "polyp")]
+    pub machine: Name,
+    /// Its address.
+    pub address: Name,
+    /// Its type.
+    #[serde(rename = "hull")]
+    pub kind: Name,
+    /// Its zone.
+    #[serde(rename = "bay")]
+    pub zone: Name,
+    /// Spot or ordinary.
+    #[serde(rename = "driftwood")]
+    pub spot: bool,
+    /// Session.
+    #[serde(rename = "tenure")]
+    pub session: u64,
+    /// Number of the report.
+    pub tally: u64,
+    /// Highest token seen.
+    #[serde(rename = "baton", default)]
+    pub token: u64,
+    /// Seconds until the cloud takes the machine.
+    #[serde(rename = "warningS", default)]
+    pub notice_s: Option<f64>,
+    /// Tasks.
+    #[serde(rename = "pieces", default)]
+    pub tasks: Vec<Reported>,
+}
+
+/// A command.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "verb", rename_all = "lowercase")]
+pub enum Command {
+    /// Start.
+    Run {
+        /// Task.
+        #[serde(rename = "piece")]
+        task: Task,
+        /// Attempt.
+        #[serde(rename = "try")]
+        attempt: u64,
+    },
+    /// Stop.
+    Halt {
+        /// Task.
+        #[serde(rename = "piece")]
+        task: Task,
+        /// Attempt.
+        #[serde(rename = "try")]
+        attempt: u64,
+        /// Time to save.
+        #[serde(rename = "windDownS")]
+        grace: f64,
+    },
+    /// Forget an exited task.
+    Reap {
+        /// Task.
+        #[serde(rename = "piece")]
+        task: Task,
+        /// Attempt.
+        #[serde(rename = "try")]
+        attempt: u64,
+    },
+}
+
+/// An answer to a report.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Answer {
+    /// Token.
+    #[serde(rename = "baton")]
+    pub token: u64,
+    /// Commands, in order.
+    pub orders: Vec<Command>,
+}
+
+/// Most commands in one answer; the rest follows with the next report.
+const MOST_COMMANDS: usize = 400;
+
+impl Cluster {
+    /// Takes a report in and answers it.  `None`: the worker has seen a token
+    /// above ours, so this controller has no say any more.
+    pub fn report(&mut self, r: &Report, now: Instant) -> Option<Answer> {
+        let token = self.token();
+        if r.token > token {
+            return None;
+        }
+        let kind_size = self.types.get(&r.kind).map(|t| t.size());
+        let new = !self.machines.contains_key(&r.machine);
+        let m = self
+            .machines
+            .entry(r.machine.clone())
+            .or_insert_with(|| Machine::new(r.machine.clone(), r.kind.clone(), r.zone.clone(), r.spot, now));
+        if new {
+            log::info!("machine {} reports: {} in {}, spot {}", r.machine, r.kind, r.zone, r.spot);
+        }
+        if m.gone.is_some() || (r.session, r.tally) <= (m.session, m.tally) {
+            // old news, delivered late; its worker waits for no answer
+            return Some(Answer { token, orders: Vec::new() });
+        }
+        if m.heard.is_none() {
+            self.stir = true;
+        }
+        let session_changed = r.session != m.session;
+        (m.session, m.tally) = (r.session, r.tally);
+        m.token = m.token.max(r.token);
+        m.heard = Some(now);
+        if let Some(size) = kind_size {
+            m.size = size;
+        }
+        match r.notice_s {
+            Some(s) if m.notice.is_none() => {
+                log::info!("machine {} is taken back in {s} s", r.machine);
+                m.notice = Some(now + Duration::from_secs_f64(s.clamp(0.0, 3600.0)));
+                self.stir = true;
+            }
+            None => m.notice = None,
+            _ => {}
+        }
+        // a report under this term's token: no earlier leader's start is on
+        // its way to this worker any more
+        let fenced = r.token == token;
+
+        // 1. what is placed here and not listed
+        let gone: Vec<Task> = m
+            .tasks
+            .iter()
+            .filter(|(task, p)| {
+                let listed = r.tasks.iter().any(|t| t.task == **task && t.attempt == p.attempt);
+                if listed {
+                    return false;
+                }
+                if p.session < r.session {
+                    return true; // an earlier session's tasks were killed
+                }
+                if p.former {
+                    return fenced;
+                }
+                match p.phase {
+                    // not sent yet, or not delivered: it is sent (again),
+                    // unless it is to stop, and then it is not there
+                    Phase::Ordered => p.halt.is_some() && (p.stored || p.sent.is_none()),
+                    Phase::Completed => false,
+                    _ => true,
+                }
+            })
+            .map(|(t, _)| t.clone())
+            .collect();
+        // the store may still hold a completed task that is listed no more
+        m.exited.retain(|task, e| r.tasks.iter().any(|t| t.task == *task && t.attempt == e.attempt));
+        for t in gone {
+            log::debug!("{t} is not on {} any more", r.machine);
+            self.vacate(&r.machine, &t, now);
+        }
+        // a start decided for the last session is for this one now
+        if session_changed {
+            if let Some(m) = self.machines.get_mut(&r.machine) {
+                m.images.clear();
+            }
+        }
+
+        // 2. what is listed
+        for t in &r.tasks {
+            self.reported(r, t, now);
+        }
+
+        // 3. commands
+        let m = self.machines.get_mut(&r.machine)?;
+        let mut orders = Vec::new();
+        for (task, e) in m.exited.iter().filter(|(_, e)| e.cleared) {
+            orders.push(Command::Reap { task: task.clone(), attempt: e.attempt });
+        }
+        for (task, p) in &m.tasks {
+            if let (Some(grace), true) = (p.halt, p.phase != Phase::Ordered) {
+                let grace = if p.phase == Phase::Flushing { continue_save(p, grace, now) } else { Some(grace) };
+                if let Some(grace) = grace {
+                    orders.push(Command::Halt { task: task.clone(), attempt: p.attempt, grace });
+                }
+            }
+        }
+        let order = (r.session, r.tally);
+        for (task, p) in m.tasks.iter_mut() {
+            if orders.len() >= MOST_COMMANDS {
+                break;
+            }
+            // only a stored start leaves, and only for the session it is for
+            if p.phase == Phase::Ordered
+                && p.stored
+                && !p.former
+                && p.halt.is_none()
+                && p.session == r.session
+                && m.deleting.is_none()
+            {
+                p.sent = Some(order);
+                orders.push(Command::Run { task: task.clone(), attempt: p.attempt });
+            }
+        }
+        orders.truncate(MOST_COMMANDS);
+        Some(Answer { token, orders })
+    }
+
+    fn reported(&mut self, r: &Report, t: &Reported, now: Instant) {
+        let over = self.jobs.get(&t.task.job).is_none_or(|j| j.fate.is_some() || j.done.contains(t.task.index));
+        let finishing = self.jobs.get(&t.task.job).is_some_and(|j| j.finishing.contains(t.task.index));
+        let cache = self.types.get(&r.kind).map_or(f64::INFINITY, |x| x.cache_gb);
+        let Some(m) = self.machines.get_mut(&r.machine) else { return };
+        let known = m.tasks.get(&t.task).is_some_and(|p| p.attempt == t.attempt);
+        if t.state == TaskState::Ended {
+            if !known && m.exited.contains_key(&t.task) {
+                return;
+            }
+            let cause = t.cause.unwrap_or(Cause::Unknown);
+            if cause == Cause::Done && !over {
+                // completed under whatever attempt: the result is kept
+                if let Some(p) = m.tasks.get_mut(&t.task).filter(|p| p.attempt == t.attempt) {
+                    if p.phase != Phase::Completed {
+                        p.phase = Phase::Completed;
+                        m.dirty = true;
+                        let p = p.clone();
+                        self.observe(&r.machine, &p, now);
+                    }
+                }
+                if !finishing {
+                    self.complete(&t.task, now);
+                }
+                self.stir = true;
+                return;
+            }
+            if known {
+                self.vacate(&r.machine, &t.task, now);
+                self.ended(&r.machine, &t.task, cause, over, now);
+            }
+            if let Some(m) = self.machines.get_mut(&r.machine) {
+                m.dirty |= known;
+                // its record, if it names the task, is rewritten first
+                let cleared = !m.dirty && m.stamp == 0;
+                m.dirty |= !cleared;
+                m.exited.insert(t.task.clone(), Exited { attempt: t.attempt, cleared });
+            }
+            return;
+        }
+        let phase = match t.state {
+            TaskState::Pulling => Phase::Pulling,
+            TaskState::Gathering => Phase::Gathering,
+            TaskState::Running => Phase::Running,
+            _ => Phase::Flushing,
+        };
+        if !known {
+            // on the machine without a record of it: it counts as present
+            // and, unless it is what the job is waiting for, is stopped
+            let Some(job) = self.jobs.get_mut(&t.task.job) else {
+                log::error!("{} has {}, of an unknown job", r.machine, t.task);
+                return;
+            };
+            log::info!("{} has {} attempt {}, which is not recorded", r.machine, t.task, t.attempt);
+            let free = !job.places.contains_key(&t.task.index) && !over && !finishing;
+            job.todo.remove(t.task.index);
+            let list = job.places.entry(t.task.index).or_default();
+            if !list.contains(&r.machine) {
+                list.push(r.machine.clone());
+            }
+            let keep = free && job.spec.shape != Shape::Gang;
+            let halt = (!keep).then_some(0.0);
+            m.dirty = true;
+            m.idle = None;
+            m.tasks.insert(
+                t.task.clone(),
+                Place {
+                    spec: job.spec.clone(),
+                    attempt: t.attempt,
+                    session: r.session,
+                    phase,
+                    stored: true,
+                    sent: None,
+                    halt,
+                    halt_since: halt.map(|_| now),
+                    former: false,
+                    since: now,
+                    running_since: None,
+                },
+            );
+        }
+        let Some(p) = m.tasks.get_mut(&t.task) else { return };
+        p.former = false;
+        if p.phase == Phase::Completed {
+            return;
+        }
+        p.phase = phase;
+        if over {
+            p.halt = Some(0.0);
+            p.halt_since.get_or_insert(now);
+        }
+        if phase == Phase::Running && p.running_since.is_none() {
+            p.running_since = Some(now);
+            let (image, gb) = (p.spec.image.clone(), p.spec.image_gb);
+            m.use_image(&image, gb, cache);
+        }
+    }
+
+    /// A task ended without completing.
+    fn ended(&mut self, machine: &Name, task: &Task, cause: Cause, over: bool, now: Instant) {
+        let rest = self.policy.failure_rest;
+        if !matches!(cause, Cause::Stopped) {
+            log::info!("{task} on {machine} ended: {cause:?}");
+        }
+        if over {
+            return;
+        }
+        let (Some(m), Some(job)) = (self.machines.get_mut(machine), self.jobs.get_mut(&task.job)) else { return };
+        match cause {
+            Cause::Error => {
+                let first = job.failed_on.is_empty();
+                job.failed_on.insert(machine.clone());
+                job.failures += 1;
+                // a faulty machine fails tasks of many jobs, a faulty job
+                // fails on many machines: blame whichever repeats
+                if first || job.failed_on.len() == 1 {
+                    m.blamed.insert(task.job.clone());
+                }
+                m.rest_until = Some(now + rest * 2);
+                if job.failed_on.len() > 1 {
+                    let tries = job.failures.min(8);
+                    job.wait_until = Some(now + rest * 2u32.pow(tries) / 2);
+                    let all: Vec<Name> = job.failed_on.iter().cloned().collect();
+                    for n in all {
+                        if let Some(m) = self.machines.get_mut(&n) {
+                            m.blamed.remove(&task.job);
+                        }
+                    }
+                } else if m.blamed.len() >= 2 {
+                    log::info!("machine {machine} fails tasks of {} jobs: drained", m.blamed.len());
+                    m.drain = Some("fails its tasks");
+                }
+            }
+            Cause::NoRoom | Cause::Busy => m.rest_until = Some(now + rest),
+            Cause::NoSuch | Cause::Unknown => job.wait_until = Some(now + rest),
+            Cause::Done | Cause::Stopped | Cause::MatesGone | Cause::Alone => {}
+        }
+    }
+
+    /// A completed task tells of its machine's speed.  Only completed tasks
+    /// count, or an instantly failing machine would look fast.
+    fn observe(&mut self, machine: &Name, p: &Place, now: Instant) {
+        let Some(since) = p.running_since else { return };
+        let ran = now.duration_since(since).as_secs_f64();
+        if let Some(m) = self.machines.get_mut(machine) {
+            m.blamed.clear();
+        }
+        // short runs say little: the report interval blurs them
+        if p.spec.estimate_s < 1.0
+            || ran < self.policy.fresh.as_secs_f64()
+            || p.spec.shape == Shape::Gang && p.spec.tasks > 1
+        {
+            return;
+        }
+        let ratio = (ran / p.spec.estimate_s).clamp(0.05, 20.0);
+        let bias = self.bias.entry(p.spec.class.clone()).or_insert(ratio);
+        let relative = (*bias / ratio).clamp(0.1, 10.0);
+        *bias += (ratio - *bias) * 0.1;
+        if let Some(m) = self.machines.get_mut(machine) {
+            m.samples += 1;
+            let weight = (1.0 / f64::from(m.samples + 1)).max(0.1);
+            m.speed += (relative - m.speed) * weight;
+        }
+    }
+}
+
+/// A saving task is left alone until its grace is over, then ended.
+fn continue_save(p: &Place, grace: f64, now: Instant) -> Option<f64> {
+    let over = p.halt_since.is_some_and(|t| now.duration_since(t).as_secs_f64() > grace.max(p.spec.save_s) * 3.0 + 5.0);
+    (grace == 0.0 || over).then_some(0.0)
+}
