--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -250,6 +250,8 @@
     pub wait_until: Option<Instant>,
     /// When this leader first knew of it.
     pub known: Instant,
+    /// It lies within its team's guarantee, as of the last pass.
+    pub guaranteed: bool,
     /// Why it waits, for people.
     pub why: &'static str,
 }
@@ -277,6 +279,7 @@
             failures: 0,
             wait_until: None,
             known: now,
+            guaranteed: false,
             why: "",
         }
     }
@@ -596,11 +599,4 @@
         self.machines.retain(|_, m| m.dirty || m.stamp > 0 || m.gone.is_none_or(|t| now.duration_since(t) < keep));
         self.jobs.retain(|_, j| j.fate.is_none() || !j.places.is_empty());
     }
-
-    /// Jobs in the order of the queue: by rank, then as they arrived.
-    pub fn queue(&self) -> Vec<Name> {
-        let mut q: Vec<&Job> = self.jobs.values().filter(|j| j.fate.is_none() && !j.todo.is_empty()).collect();
-        q.sort_by(|a, b| (a.spec.rank, a.stamp, &a.spec.id).cmp(&(b.spec.rank, b.stamp, &b.spec.id)));
-        q.into_iter().map(|j| j.spec.id.clone()).collect()
-    }
 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use crate::cluster::{Cluster, Phase, Place, TeamLimit};
+use crate::cluster::{Cluster, Job, Phase, Place, TeamLimit};
 use crate::model::*;
 use tai2::{Candidate, How, Weather};
 
@@ -77,7 +77,8 @@
             })
             .collect();
         let mut used = self.usage();
-        let queue = self.ordered_queue(&used, now);
+        self.mark_guaranteed();
+        let queue = self.ordered_queue(now);
         let mut wants = Vec::new();
         let mut head_holds = false;
         let waiting: f64 =
@@ -103,7 +104,7 @@
                 Shape::Array => count.min(policy.dry_run_tasks as u32 / 4),
                 _ => count,
             };
-            let held = self.hold_or_preempt(&spec, most, &zones, &mut slots, &mut used, &limit, now);
+            let held = self.hold_or_preempt(&spec, most, &zones, &mut slots, &used, now);
             if held < most && !head_holds {
                 head_holds = true;
                 // a blocked head keeps its turn: the room that it will fit
@@ -126,17 +127,29 @@
         wants
     }
 
-    /// Rank, then work within a guarantee before borrowed use, then arrival.
-    fn ordered_queue(&self, used: &HashMap<Name, Size>, now: Instant) -> Vec<Name> {
-        let mut q = self.queue();
-        q.retain(|id| self.jobs.get(id).is_some_and(|j| j.wait_until.is_none_or(|t| t <= now)));
-        let borrowed = |id: &Name| {
-            let Some(j) = self.jobs.get(id) else { return true };
+    /// Marks the jobs that are within their team's guarantee: those that fit
+    /// into it along with all that the team submitted before and is not over.
+    fn mark_guaranteed(&mut self) {
+        let mut open: Vec<&mut Job> = self.jobs.values_mut().filter(|j| j.fate.is_none()).collect();
+        open.sort_by(|a, b| (a.stamp, &a.spec.id).cmp(&(b.stamp, &b.spec.id)));
+        let mut used: HashMap<Name, Size> = HashMap::new();
+        for j in open {
             let limit = self.teams.get(&j.spec.team).copied().unwrap_or_default();
-            !within_guarantee(&limit, used.get(&j.spec.team), &j.spec.size())
-        };
-        q.sort_by_cached_key(|id| (self.jobs.get(id).map(|j| j.spec.rank), borrowed(id)));
-        q
+            let team = used.entry(j.spec.team.clone()).or_default();
+            let left = f64::from(j.spec.tasks - j.done.len().min(j.spec.tasks));
+            let s = j.spec.size();
+            team.give(&Size { cpus: s.cpus * left, gpus: s.gpus * left, memory: 0.0 });
+            j.guaranteed = within(&limit.guarantee, team);
+        }
+    }
+
+    /// The queue: production and work within its team's guarantee first, by
+    /// rank, then as it arrived.
+    fn ordered_queue(&self, now: Instant) -> Vec<Name> {
+        let mut q: Vec<&Job> = self.jobs.values().filter(|j| j.fate.is_none() && !j.todo.is_empty()).collect();
+        q.retain(|j| j.wait_until.is_none_or(|t| t <= now));
+        q.sort_by(|a, b| (turn(a), a.stamp, &a.spec.id).cmp(&(turn(b), b.stamp, &b.spec.id)));
+        q.into_iter().map(|j| j.spec.id.clone()).collect()
     }
 
     /// Sizes of the next tasks behind the head, for the dry run.
@@ -203,12 +216,7 @@
             *zones.entry(s.zone.clone()).or_insert(0) += 1;
             let (name, attempt) = (s.name.clone(), self.new_attempt());
             let task = Task { job: id.clone(), index };
-            log::debug!(
-                "{task} goes to {name}: {:?}, variance {:.3}, load {:.2}",
-                p.how,
-                weather.variance,
-                weather.load
-            );
+            self.explain(&task, &name, &spec, p.how, weather, now);
             if !self.assign(&task, &name, attempt, now) {
                 return None;
             }
@@ -300,19 +308,24 @@
             s.room -= 1;
             used.entry(spec.team.clone()).or_default().give(&size);
             let task = Task { job: id.clone(), index };
-            log::debug!(
-                "{task} goes to {}: {:?}, variance {:.3}, load {:.2}",
-                s.name,
-                p.how,
-                weather.variance,
-                weather.load
-            );
             let name = s.name.clone();
+            self.explain(&task, &name, &spec, p.how, weather, now);
             self.assign(&task, &name, attempt, now);
         }
         None
     }
 
+    fn explain(&self, task: &Task, machine: &Name, spec: &Spec, how: How, w: &Weather, now: Instant) {
+        let waited = self.jobs.get(&task.job).map_or(0.0, |j| now.duration_since(j.known).as_secs_f64());
+        log::debug!(
+            "{task} ({}) goes to {machine} after {waited:.1} s: {how:?}, variance {:.3}, load {:.2}; image {}",
+            spec.class,
+            w.variance,
+            w.load,
+            ["there", "on its way", "to be fetched"][usize::from(self.image_tier(spec, machine).min(2))]
+        );
+    }
+
     /// 0: the machine holds the image; 1: it is fetching it; 2: neither.
     fn image_tier(&self, spec: &Spec, machine: &Name) -> u8 {
         let Some(m) = self.machines.get(machine) else { return 2 };
@@ -379,19 +392,17 @@
         count: u32,
         zones: &BTreeMap<Name, u32>,
         slots: &mut [Slot],
-        used: &mut HashMap<Name, Size>,
-        limit: &TeamLimit,
+        used: &HashMap<Name, Size>,
         now: Instant,
     ) -> u32 {
         let size = spec.size();
+        let Some(job) = self.jobs.get(&spec.id) else { return 0 };
         let mut zones = zones.clone();
         let mut plan: Vec<(usize, Victims)> = Vec::new();
-        let mut entitled = used.get(&spec.team).copied().unwrap_or_default();
         let mut spared = used.clone();
         let mut soon: Vec<Size> = slots.iter().map(|s| s.soon).collect();
         let mut taken: std::collections::HashSet<(Name, Task)> = std::collections::HashSet::new();
         for _ in 0..count {
-            let within = within_guarantee(limit, Some(&entitled), &size);
             let mut best: Option<(f64, usize, Victims)> = None;
             for (i, s) in slots.iter().enumerate() {
                 if !spec.allows(&s.kind, &s.zone, s.spot) || !s.whole.holds(&size) || !zone_ok(spec, &s.zone, &zones) {
@@ -410,7 +421,9 @@
                     .filter(|(t, p)| {
                         p.present() && p.halt.is_none() && !p.former && !taken.contains(&(s.name.clone(), (*t).clone()))
                     })
-                    .filter(|(_, p)| gives_way(spec, within, p, &self.teams, &spared))
+                    .filter(|(_, p)| {
+                        self.jobs.get(&p.spec.id).is_some_and(|of| gives_way(job, of, &self.teams, &spared))
+                    })
                     .map(|(t, p)| (loss(p, now), t, p))
                     .collect();
                 victims.sort_by(|a, b| b.2.spec.rank.cmp(&a.2.spec.rank).then(a.0.total_cmp(&b.0)));
@@ -438,7 +451,6 @@
                 }
             }
             soon[i].take(&size);
-            entitled.give(&size);
             *zones.entry(slots[i].zone.clone()).or_insert(0) += 1;
             plan.push((i, list));
         }
@@ -488,36 +500,40 @@
     n
 }
 
-/// Whether a task of this size fits into what the team is guaranteed.
-fn within_guarantee(limit: &TeamLimit, used: Option<&Size>, size: &Size) -> bool {
-    let used = used.copied().unwrap_or_default();
-    let g = limit.guarantee;
-    let ok = |g: f64, u: f64, s: f64| g <= 0.0 || u + s <= g + 1e-6;
-    (g.cpus > 0.0 || g.gpus > 0.0) && ok(g.cpus, used.cpus, size.cpus) && ok(g.gpus, used.gpus, size.gpus)
+/// Whether this much lies within a guarantee; none is given where both are 0.
+fn within(guarantee: &Size, used: &Size) -> bool {
+    let ok = |g: f64, u: f64| g <= 0.0 || u <= g + 1e-6;
+    (guarantee.cpus > 0.0 || guarantee.gpus > 0.0) && ok(guarantee.cpus, used.cpus) && ok(guarantee.gpus, used.gpus)
 }
 
-/// Whether a task has to give way: to a higher rank, or, where it is work
-/// beyond its team's guarantee, to another team within its own.
-fn gives_way(to: &Spec, within: bool, p: &Place, teams: &HashMap<Name, TeamLimit>, used: &HashMap<Name, Size>) -> bool {
-    if p.spec.rank > to.rank {
-        return true;
-    }
-    if !within || p.spec.team == to.team || p.spec.shape == Shape::Service {
+/// A job's turn.  Work gives way only to an earlier turn: with one order for
+/// the queue and for giving way, nothing is stopped for work that is then
+/// stopped for it.
+fn turn(j: &Job) -> (bool, Rank) {
+    (!j.guaranteed && j.spec.rank != Rank::Production, j.spec.rank)
+}
+
+/// Whether a task of `of` has to give way to `to`: to a higher rank, or, where
+/// it is work beyond its team's guarantee, to another team within its own.
+fn gives_way(to: &Job, of: &Job, teams: &HashMap<Name, TeamLimit>, used: &HashMap<Name, Size>) -> bool {
+    if turn(of) <= turn(to) {
         return false;
     }
-    let limit = teams.get(&p.spec.team).copied().unwrap_or_default();
-    let mut rest = used.get(&p.spec.team).copied().unwrap_or_default();
-    rest.take(&p.spec.size());
-    // all of it lies beyond the guarantee
-    let g = limit.guarantee;
-    (g.cpus > 0.0 && rest.cpus >= g.cpus) || (g.gpus > 0.0 && rest.gpus >= g.gpus)
+    if of.spec.rank > to.spec.rank {
+        return true;
+    }
+    let team = used.get(&of.spec.team).copied().unwrap_or_default();
+    let limit = teams.get(&of.spec.team).copied().unwrap_or_default();
+    to.guaranteed && !of.guaranteed && of.spec.team != to.spec.team && !within(&limit.guarantee, &team)
 }
 
-/// Work lost by stopping a task now, in core seconds.
+/// What stopping a task now would cost, in core seconds: its work since the
+/// last checkpoint, its image's fetch, and a start that has hardly begun.
 fn loss(p: &Place, now: Instant) -> f64 {
+    let here = now.duration_since(p.since).as_secs_f64();
     let ran = p.running_since.map_or(0.0, |t| now.duration_since(t).as_secs_f64());
-    let lost = if p.spec.checkpoint_s > 0.0 { ran.min(p.spec.save_s) } else { ran };
-    1.0 + lost * p.spec.cpus
+    let lost = if p.spec.checkpoint_s > 0.0 { p.spec.save_s } else { ran };
+    1.0 + (lost + (here - ran) / (1.0 + ran)) * p.spec.cpus
 }
 
 /// Whether one more task of the job may be in this zone.
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -370,6 +370,12 @@
         }
         if phase == Phase::Running && p.running_since.is_none() {
             p.running_since = Some(now);
+            log::debug!(
+                "{} runs on {}, {:.1} s after it was placed",
+                t.task,
+                r.machine,
+                now.duration_since(p.since).as_secs_f64()
+            );
             let (image, gb) = (p.spec.image.clone(), p.spec.image_gb);
             m.use_image(&image, gb, cache);
         }
