--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -163,8 +163,23 @@
         plan
     }
 
+    /// All that the teams are guaranteed.
+    fn guarantees(&self) -> Size {
+        let mut all = Size::default();
+        for t in self.teams.values() {
+            all.give(&t.guarantee);
+        }
+        all
+    }
+
     fn returns(&mut self, plan: &mut Plan, now: Instant) {
         let policy = self.policy.clone();
+        let mut spare = Size::default();
+        for m in self.machines.values().filter(|m| m.gone.is_none() && m.deleting.is_none() && m.drain.is_none()) {
+            spare.give(&m.size);
+        }
+        let all = self.guarantees();
+        spare.take(&Size { cpus: all.cpus * policy.kept_share, gpus: all.gpus * policy.kept_share, memory: 0.0 });
         let began = self.began;
         let quiet = |m: &Machine| now.duration_since(m.heard.unwrap_or(began.max(m.known)));
         let up = |m: &&Machine| {
@@ -200,7 +215,9 @@
                 && m.tasks.is_empty()
                 && m.heard.is_some()
                 && now.duration_since(m.rented) > policy.idle
+                && spare.holds(&Size { memory: 0.0, ..m.size })
             {
+                spare.take(&m.size);
                 Some("is idle")
             } else if m.tasks.values().any(|p| {
                 // stops of a cancelled job are pursued to the end
@@ -274,7 +291,7 @@
             let spec = &w.spec;
             let size = spec.size();
             let mut count = w.count;
-            if spec.shape == Shape::Array {
+            if spec.shape == Shape::Array && !self.jobs.get(&spec.id).is_some_and(|j| j.guaranteed) {
                 let bias = self.bias.get(&spec.class).copied().unwrap_or(1.0);
                 let each = (spec.estimate_s * bias).max(1.0);
                 let slots = f64::from(w.count) * (each / policy.horizon_s).min(1.0);
@@ -321,6 +338,7 @@
                 coming.push((pool, free));
             }
         }
+        self.headroom(&mut coming, &mut new, &mut per_zone, now);
         for ((kind, zone, spot), count) in new {
             self.fleet.next_charter += 1;
             let charter = format!("c-{}-{}", self.term, self.fleet.next_charter).into();
@@ -329,4 +347,48 @@
             plan.rent.push(r);
         }
     }
+
+    /// Rents ahead where teams have guarantees: what comes next within them
+    /// should not have to wait for a boot.
+    fn headroom(
+        &self,
+        coming: &mut Vec<(Pool, Size)>,
+        new: &mut BTreeMap<Pool, u32>,
+        per_zone: &mut HashMap<Name, usize>,
+        now: Instant,
+    ) {
+        let all = self.guarantees();
+        let share = self.policy.headroom_share;
+        let (cpus, gpus) = (all.cpus * share, all.gpus * share);
+        let mut free = Size::default();
+        for m in self.machines.values().filter(|m| m.usable(now, &self.policy)) {
+            free.give(&m.free());
+        }
+        for (_, size) in coming.iter() {
+            free.give(size);
+        }
+        // the cheapest way to what is missing
+        while free.cpus + 1e-6 < cpus || free.gpus + 1e-6 < gpus {
+            let mut best: Option<(f64, usize, Pool, Size)> = None;
+            for t in self.types.values().filter(|t| t.cpus > 0.0 && (t.gpus > 0.0 || gpus <= 0.0)) {
+                for (zone, spot) in t.zones.iter().flat_map(|z| [(z, true), (z, false)]) {
+                    let pool = (t.name.clone(), zone.clone(), spot);
+                    if self.fleet.resting.get(&pool).is_some_and(|r| *r > now) {
+                        continue;
+                    }
+                    let unit = if gpus > 0.0 { t.gpus } else { t.cpus };
+                    let cost = if spot { t.spot_price } else { t.price } / unit;
+                    let here = per_zone.get(zone).copied().unwrap_or(0);
+                    if best.as_ref().is_none_or(|b| (cost, here) < (b.0, b.1)) {
+                        best = Some((cost, here, pool, t.size()));
+                    }
+                }
+            }
+            let Some((_, _, pool, size)) = best else { break };
+            free.give(&size);
+            *per_zone.entry(pool.1.clone()).or_default() += 1;
+            *new.entry(pool.clone()).or_insert(0) += 1;
+            coming.push((pool, size));
+        }
+    }
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -40,6 +40,11 @@
     pub list_lag: Duration,
     /// No capacity: how long that kind is not asked for again.
     pub capacity_rest: Duration,
+    /// Share of all guarantees that is kept on hand, busy or not: a guarantee
+    /// is worth nothing without the machines.
+    pub kept_share: f64,
+    /// Share of all guarantees that is kept free for what comes next.
+    pub headroom_share: f64,
     /// Queued work of arrays is to be done within this.
     pub horizon_s: f64,
     /// Rest of a machine or a job after a failure, doubled by each further.
@@ -74,6 +79,8 @@
             list_every: s((config.deployment.cloud.list_lag_s / 2.0).clamp(1.0, 5.0)),
             list_lag: s(config.deployment.cloud.list_lag_s),
             capacity_rest: s(w.lease_s / 2.0),
+            kept_share: 1.0,
+            headroom_share: 0.2,
             horizon_s: w.lease_s * 2.0,
             failure_rest: s(w.report_s * 2.0),
             cancel: s(w.cancel_s),
