--- a/src/intake.rs
+++ b/src/intake.rs
@@ -74,7 +74,7 @@
         let id = r.path.strip_prefix("/v2/runs/");
         match (r.method.as_str(), r.path.as_str()) {
             ("GET", "/healthz") => self.health(),
-            ("POST", "/hello") => self.hello(&r.body),
+            ("POST", "/hello") => self.hello(&r.body).await,
             ("POST", "/v2/runs") => self.submit(&r.body).await,
             (_, "/healthz" | "/hello" | "/v2/runs") => Response::refuse(405, "wrong method"),
             (method, _) => match id {
@@ -102,35 +102,72 @@
         }
     }
 
-    fn hello(&self, body: &[u8]) -> Response {
+    async fn hello(&self, body: &[u8]) -> Response {
         let report: Report = match http::decode(body) {
             Ok(r) => r,
             Err(e) => return Response::refuse(400, &e.to_string()),
         };
+        let stored = self.stored.listen();
+        match self.take_in(&report) {
+            Ok(false) => {}
+            // what the report frees is filled with this very answer, if the
+            // store is quick about it; commands leave only once stored
+            Ok(true) => {
+                let _ = timed(self.policy.commit_wait, async {
+                    let mut stored = stored;
+                    loop {
+                        stored.await;
+                        stored = self.stored.listen();
+                        if !self.lock().cluster.as_ref().is_some_and(|c| c.start_pending(&report)) {
+                            return;
+                        }
+                    }
+                })
+                .await;
+            }
+            Err(r) => return r,
+        }
         let mut i = self.lock();
         let now = Instant::now();
-        let entitled = i.authority.is_some_and(|a| now < a.until);
-        if entitled {
+        // checked at the moment of answering: the lease may have run out
+        if i.authority.is_some_and(|a| now < a.until) {
             if let Some(c) = i.cluster.as_mut() {
-                if let Some(answer) = c.report(&report, now) {
-                    let stir = c.stir;
-                    drop(i);
-                    if stir {
-                        self.to_place.wake();
-                    }
-                    self.to_commit.wake();
-                    return Response::new(200, &answer);
+                return Response::new(200, &c.answer(&report, now));
+            }
+        }
+        Response::refuse(503, "leads no more")
+    }
+
+    /// Takes a report into the leader's state; whether its answer should wait
+    /// for the store.
+    fn take_in(&self, report: &Report) -> Result<bool, Response> {
+        let mut i = self.lock();
+        let now = Instant::now();
+        if i.authority.is_none_or(|a| now >= a.until) {
+            return Err(match &i.leader {
+                Some(l) if l.record.name != self.config.name => {
+                    Response::new(421, &Redirect { answer_to: Some(&l.record.name) })
                 }
+                _ => Response::refuse(503, "no leader is known"),
+            });
+        }
+        let Some(c) = i.cluster.as_mut() else { return Err(Response::refuse(503, "not ready")) };
+        match c.report(report, now) {
+            None => {
                 log::error!("{} has seen a token above ours", report.machine);
+                return Err(Response::refuse(503, "outdated"));
             }
-            return Response::refuse(503, "not ready");
+            Some(false) => return Ok(false),
+            Some(true) => {}
         }
-        match &i.leader {
-            Some(l) if l.record.name != self.config.name => {
-                Response::new(421, &Redirect { answer_to: Some(&l.record.name) })
-            }
-            _ => Response::refuse(503, "no leader is known"),
+        let wants = c.stir.then(|| c.place(now));
+        let pending = c.start_pending(report);
+        if let Some(w) = wants {
+            i.wants = w;
         }
+        drop(i);
+        self.to_commit.wake();
+        Ok(pending)
     }
 
     /// Why a job can never run, if it cannot.
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -12,7 +12,7 @@
 use crate::http;
 use crate::leadership::Authority;
 use crate::model::*;
-use crate::node::{timed, Node};
+use crate::node::Node;
 use crate::store::{key, read_value, Error, Outcome, Txn, Write};
 
 #[derive(Deserialize)]
@@ -108,6 +108,7 @@
                         log::debug!("{id} is done");
                         self.learn_fate(&id, Fate::Done, now);
                     }
+                    self.stored.notify(usize::MAX);
                     self.to_place.wake();
                 }
                 Ok(Outcome::Conflict(keys)) => {
@@ -179,8 +180,17 @@
         }
     }
 
+    /// One call to the cloud, within its limit; retries are the caller's.
+    async fn cloud_call(&self, method: &str, target: &str, body: Option<&[u8]>) -> Result<(u16, Vec<u8>), http::Error> {
+        let wait = self.cloud_calls.lock().unwrap_or_else(|e| e.into_inner()).take(1.0, Instant::now());
+        if !wait.is_zero() {
+            smol::Timer::after(wait).await;
+        }
+        self.cloud.send(self.config.services.cloud, method, target, body, CLOUD_LIMIT).await
+    }
+
     async fn cloud_get<T: serde::de::DeserializeOwned>(&self, target: &str) -> Result<T, String> {
-        match self.cloud.send(self.config.services.cloud, "GET", target, None, CLOUD_LIMIT).await {
+        match self.cloud_call("GET", target, None).await {
             Ok((200, body)) => http::decode(&body).map_err(|e| e.to_string()),
             Ok((s, _)) => Err(format!("status {s}")),
             Err(e) => Err(e.to_string()),
@@ -284,26 +294,25 @@
     }
 
     async fn carry_out(&self, plan: Plan) {
-        // within the cloud's limit, with room left for the lists
-        let pace = Duration::from_secs_f64(1.6 / self.config.deployment.cloud.rps);
-        if !plan.delete.is_empty() {
-            let body = http::encode(&Machines { machines: plan.delete.clone() });
-            let sent = self.cloud.send(self.config.services.cloud, "POST", "/rentals/delete", Some(&body), CLOUD_LIMIT);
-            match sent.await {
-                Ok((200, _)) => {
-                    if let Some(c) = self.lock().cluster.as_mut() {
-                        c.deleted(&plan.delete, Instant::now());
-                    }
-                    self.to_place.wake();
+        let rentals = futures_util::future::join_all(plan.rent.iter().map(|r| self.rent(r)));
+        futures_util::future::join(self.give_back(&plan.delete), rentals).await;
+    }
+
+    async fn give_back(&self, names: &[Name]) {
+        if names.is_empty() {
+            return;
+        }
+        let body = http::encode(&Machines { machines: names.to_vec() });
+        match self.cloud_call("POST", "/rentals/delete", Some(&body)).await {
+            Ok((200, _)) => {
+                if let Some(c) = self.lock().cluster.as_mut() {
+                    c.deleted(names, Instant::now());
                 }
-                Ok((s, _)) => log::debug!("deletion: status {s}"),
-                Err(e) => log::debug!("deletion: {e}"),
+                self.to_place.wake();
+                self.to_commit.wake();
             }
-            smol::Timer::after(pace).await;
-        }
-        for r in plan.rent {
-            self.rent(&r).await;
-            smol::Timer::after(pace).await;
+            Ok((s, _)) => log::debug!("deletion: status {s}"),
+            Err(e) => log::debug!("deletion: {e}"),
         }
     }
 
@@ -312,30 +321,28 @@
             return;
         }
         let body = http::encode(r);
-        let sent = self.cloud.send(self.config.services.cloud, "POST", "/rentals", Some(&body), CLOUD_LIMIT);
-        let answer = timed(CLOUD_LIMIT * 2, sent).await;
+        let answer = self.cloud_call("POST", "/rentals", Some(&body)).await;
         let now = Instant::now();
         let mut i = self.lock();
         let Some(c) = i.cluster.as_mut() else { return };
         match answer {
-            Some(Ok((200, body))) => match http::decode::<Machines>(&body) {
+            Ok((200, body)) => match http::decode::<Machines>(&body) {
                 Ok(m) => c.rented(r, &m.machines, now),
                 Err(e) => log::error!("rental {}: {e}", r.charter),
             },
-            Some(Ok((503, body))) if String::from_utf8_lossy(&body).contains("capacity") => {
+            Ok((503, body)) if String::from_utf8_lossy(&body).contains("capacity") => {
                 log::info!("no capacity: {} in {}, spot {}", r.kind, r.zone, r.spot);
                 c.fleet.open.retain(|o| o.charter != r.charter);
                 c.no_capacity(&(r.kind.clone(), r.zone.clone(), r.spot), now);
             }
-            Some(Ok((400, _))) => {
+            Ok((400, _)) => {
                 log::error!("rental {} is malformed to the cloud", r.charter);
                 c.fleet.open.retain(|o| o.charter != r.charter);
                 c.no_capacity(&(r.kind.clone(), r.zone.clone(), r.spot), now);
             }
             // in doubt: asked again under the same charter
-            Some(Ok((s, _))) => log::debug!("rental {}: status {s}", r.charter),
-            Some(Err(e)) => log::debug!("rental {}: {e}", r.charter),
-            None => {}
+            Ok((s, _)) => log::debug!("rental {}: status {s}", r.charter),
+            Err(e) => log::debug!("rental {}: {e}", r.charter),
         }
     }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -17,7 +17,7 @@
 use crate::model::*;
 use crate::placement::Want;
 use crate::policy::Policy;
-use crate::store::{key, read_value, Event, Store};
+use crate::store::{key, read_value, Budget, Event, Store};
 
 /// A job as every controller knows it.
 #[derive(Debug, Clone)]
@@ -99,11 +99,15 @@
     pub store: Store,
     /// Client for the cloud.
     pub cloud: http::Client,
+    /// Calls to the cloud.
+    pub cloud_calls: Mutex<Budget>,
     inner: Mutex<Inner>,
     /// Something to place.
     pub to_place: Wake,
     /// Something to store.
     pub to_commit: Wake,
+    /// A transaction of the leader's went through.
+    pub stored: event_listener::Event,
     /// The leader changed.
     pub to_lead: Wake,
     /// Users' requests on their way to the store.
@@ -123,14 +127,17 @@
     /// A controller that has not started yet.
     pub fn new(config: Config, now: Instant) -> Node {
         let policy = Arc::new(Policy::new(&config));
+        let rps = config.deployment.cloud.rps;
         let store = Store::new(config.services.state, &config.deployment.state, now);
         Node {
             policy,
             store,
             cloud: http::Client::default(),
+            cloud_calls: Mutex::new(Budget::new(rps * 0.7, rps * 1.4, now)),
             inner: Mutex::default(),
             to_place: Wake::default(),
             to_commit: Wake::default(),
+            stored: event_listener::Event::new(),
             to_lead: Wake::default(),
             intake: Intake::default(),
             config,
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -203,7 +203,7 @@
                 job.why = "its team is at its limit";
                 return None;
             }
-            let Some(p) = self.choose(&spec, slots, &zones, weather, later) else {
+            let Some(p) = self.choose(&spec, slots, &zones, weather, later, now) else {
                 let mut room = limit_room(limit, used.get(&spec.team), &size, self.jobs.get(id)?.todo.len());
                 room = room.min(self.jobs.get(id)?.todo.len());
                 return Some((room, zones));
@@ -272,28 +272,28 @@
             all.dedup();
             tries = all.into_iter().map(Some).collect();
         }
-        let mut best: Option<(usize, Vec<Pick>)> = None;
+        let mut best: Option<(f64, Vec<Pick>)> = None;
         for only in tries {
             let mut trial: Vec<Slot> = slots
                 .iter()
                 .map(|s| Slot { name: s.name.clone(), kind: s.kind.clone(), zone: s.zone.clone(), ..*s })
                 .collect();
             let mut zones = present.clone();
-            let (mut picks, mut missing) = (Vec::new(), 0);
+            let (mut picks, mut slowest) = (Vec::new(), 0.0f64);
             for _ in &todo {
                 for s in trial.iter_mut().filter(|s| only.as_ref().is_some_and(|z| *z != s.zone)) {
                     s.room = 0;
                 }
-                let Some(p) = self.choose(&spec, &trial, &zones, weather, later) else { break };
+                let Some(p) = self.choose(&spec, &trial, &zones, weather, later, now) else { break };
                 let s = &mut trial[p.slot];
                 s.free.take(&size);
                 s.room -= 1;
                 *zones.entry(s.zone.clone()).or_insert(0) += 1;
-                missing += usize::from(self.image_tier(&spec, &s.name) > 0);
+                slowest = slowest.max(self.image_wait(&spec, &s.name, now).0);
                 picks.push(p);
             }
-            if picks.len() == todo.len() && best.as_ref().is_none_or(|b| missing < b.0) {
-                best = Some((missing, picks));
+            if picks.len() == todo.len() && best.as_ref().is_none_or(|b| slowest < b.0) {
+                best = Some((slowest, picks));
             }
         }
         let Some((_, picks)) = best else {
@@ -317,32 +317,43 @@
 
     fn explain(&self, task: &Task, machine: &Name, spec: &Spec, how: How, w: &Weather, now: Instant) {
         let waited = self.jobs.get(&task.job).map_or(0.0, |j| now.duration_since(j.known).as_secs_f64());
+        let (image, _) = self.image_wait(spec, machine, now);
         log::debug!(
-            "{task} ({}) goes to {machine} after {waited:.1} s: {how:?}, variance {:.3}, load {:.2}; image {}",
+            "{task} ({}) goes to {machine} after {waited:.1} s: {how:?}, variance {:.3}, load {:.2}; image in {image:.0} s",
             spec.class,
             w.variance,
             w.load,
-            ["there", "on its way", "to be fetched"][usize::from(self.image_tier(spec, machine).min(2))]
         );
     }
 
-    /// 0: the machine holds the image; 1: it is fetching it; 2: neither.
-    fn image_tier(&self, spec: &Spec, machine: &Name) -> u8 {
-        let Some(m) = self.machines.get(machine) else { return 2 };
+    /// How long a task would wait for its image on a machine, and whether the
+    /// machine is fetching it already.
+    fn image_wait(&self, spec: &Spec, machine: &Name, now: Instant) -> (f64, bool) {
+        let Some(m) = self.machines.get(machine) else { return (f64::INFINITY, false) };
         if m.has_image(&spec.image) {
-            return 0;
-        }
-        let fetching = |p: &Place| p.spec.image == spec.image && p.present();
-        if m.tasks.values().any(fetching) {
-            1
-        } else {
-            2
+            return (0.0, false);
         }
+        let rate = self.types.get(&m.kind).map_or(0.0, |t| t.fetch_gb_per_s).max(1e-3);
+        let fetching = |p: &&Place| p.present() && matches!(p.phase, Phase::Ordered | Phase::Pulling);
+        let began = m.tasks.values().filter(fetching).filter(|p| p.spec.image == spec.image).map(|p| p.since).min();
+        // fetches at the same time share the rate
+        let mut others: Vec<(&Name, f64)> = m
+            .tasks
+            .values()
+            .filter(fetching)
+            .filter(|p| p.spec.image != spec.image && !m.has_image(&p.spec.image))
+            .map(|p| (&p.spec.image, p.spec.image_gb))
+            .collect();
+        others.dedup_by(|a, b| a.0 == b.0);
+        let whole = (spec.image_gb + others.iter().map(|o| o.1).sum::<f64>()) / rate;
+        let left = began.map_or(whole, |t| (whole - now.duration_since(t).as_secs_f64()).max(0.0));
+        (left, began.is_some())
     }
 
     /// The machine for one task: among the allowed ones those that start it
     /// soonest (the image is there), then spot before ordinary for jobs that
     /// may, and within these by the paper's switch.
+    #[allow(clippy::too_many_arguments)]
     fn choose(
         &self,
         spec: &Spec,
@@ -350,11 +361,12 @@
         zones: &BTreeMap<Name, u32>,
         weather: &Weather,
         later: &[Size],
+        now: Instant,
     ) -> Option<Pick> {
         let size = spec.size();
         let failed = self.jobs.get(&spec.id).map(|j| &j.failed_on);
         let mut best: Vec<Candidate> = Vec::new();
-        let mut tier = (true, u8::MAX, true);
+        let mut tier = (true, u64::MAX, true, true);
         let candidate = |i: usize, s: &Slot| Candidate { at: i, free: s.free, whole: s.whole, speed: s.speed };
         for (i, s) in slots.iter().enumerate() {
             if s.room == 0
@@ -364,7 +376,11 @@
             {
                 continue;
             }
-            let t = (failed.is_some_and(|f| f.contains(&s.name)), self.image_tier(spec, &s.name), spec.spot && !s.spot);
+            // where a fetch is needed anyway, a fresh one warms a machine more
+            let (wait, fetching) = self.image_wait(spec, &s.name, now);
+            let wait = (wait / self.policy.fetch_grain_s).ceil() as u64;
+            let failed = failed.is_some_and(|f| f.contains(&s.name));
+            let t = (failed, wait, spec.spot && !s.spot, fetching);
             if t < tier || best.is_empty() {
                 best.clear();
                 tier = t;
@@ -437,7 +453,7 @@
                     list.push((s.name.clone(), t.clone()));
                 }
                 // an image to fetch delays the start: prefer where it is
-                cost += f64::from(self.image_tier(spec, &s.name)) * spec.image_gb;
+                cost += self.image_wait(spec, &s.name, now).0 * spec.cpus;
                 if room.holds(&size) && best.as_ref().is_none_or(|b| cost < b.0) {
                     best = Some((cost, i, list));
                 }
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -156,9 +156,9 @@
 const MOST_COMMANDS: usize = 400;
 
 impl Cluster {
-    /// Takes a report in and answers it.  `None`: the worker has seen a token
-    /// above ours, so this controller has no say any more.
-    pub fn report(&mut self, r: &Report, now: Instant) -> Option<Answer> {
+    /// Takes a report in.  `None`: the worker has seen a token above ours, so
+    /// this controller has no say any more; else whether the report is news.
+    pub fn report(&mut self, r: &Report, now: Instant) -> Option<bool> {
         let token = self.token();
         if r.token > token {
             return None;
@@ -174,7 +174,7 @@
         }
         if m.gone.is_some() || (r.session, r.tally) <= (m.session, m.tally) {
             // old news, delivered late; its worker waits for no answer
-            return Some(Answer { token, orders: Vec::new() });
+            return Some(false);
         }
         if m.heard.is_none() {
             self.stir = true;
@@ -241,10 +241,23 @@
         for t in &r.tasks {
             self.reported(r, t, now);
         }
+        Some(true)
+    }
+
+    /// Whether a start on this machine is on its way into the store: the
+    /// answer that waits for it saves the task a report interval.
+    pub fn start_pending(&self, r: &Report) -> bool {
+        let Some(m) = self.machines.get(&r.machine) else { return false };
+        (m.session, m.tally) == (r.session, r.tally) && m.tasks.values().any(|p| !p.stored && p.halt.is_none())
+    }
 
-        // 3. commands
-        let m = self.machines.get_mut(&r.machine)?;
+    /// The answer to a report that has been taken in.
+    pub fn answer(&mut self, r: &Report, now: Instant) -> Answer {
+        let token = self.token();
         let mut orders = Vec::new();
+        let newest = |m: &&mut Machine| (m.session, m.tally) == (r.session, r.tally) && m.gone.is_none();
+        // a newer report is in: nobody waits for this answer any more
+        let Some(m) = self.machines.get_mut(&r.machine).filter(newest) else { return Answer { token, orders } };
         for (task, e) in m.exited.iter().filter(|(_, e)| e.cleared) {
             orders.push(Command::Reap { task: task.clone(), attempt: e.attempt });
         }
@@ -274,7 +287,7 @@
             }
         }
         orders.truncate(MOST_COMMANDS);
-        Some(Answer { token, orders })
+        Answer { token, orders }
     }
 
     fn reported(&mut self, r: &Report, t: &Reported, now: Instant) {
