--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -46,6 +46,8 @@
     pub stored: bool,
     /// Order of the report whose answer last carried the start.
     pub sent: Option<(u64, u64)>,
+    /// Order at which a direct stop was last sent.
+    pub halt_sent: bool,
     /// Stop it, with this grace.
     pub halt: Option<f64>,
     /// When the stop was decided.
@@ -143,6 +145,17 @@
     pub speed: f64,
     /// Tasks observed.
     pub samples: u32,
+    /// Where its worker takes direct commands.
+    pub address: Option<std::net::SocketAddr>,
+    /// Its own part of the token; raising it kills every command in flight.
+    pub fence: u64,
+    /// Token of direct starts that were not answered (yet): they may be
+    /// carried out at any time until the worker has seen a higher token.
+    pub doubt: Option<u64>,
+    /// A direct command is under way.
+    pub flying: bool,
+    /// An answer to its report waits for the store and will carry commands.
+    pub answering: bool,
     /// Proved to be gone.  The entry stays for a while, so that a report
     /// delivered late does not bring the machine back.
     pub gone: Option<Instant>,
@@ -178,6 +191,11 @@
             rest_until: None,
             speed: 1.0,
             samples: 0,
+            address: None,
+            fence: 0,
+            doubt: None,
+            flying: false,
+            answering: false,
             gone: None,
         }
     }
@@ -439,6 +457,7 @@
                 phase: Phase::Ordered,
                 stored: true,
                 sent: None,
+                halt_sent: false,
                 halt: None,
                 halt_since: None,
                 former: true,
@@ -473,6 +492,7 @@
                 phase: Phase::Ordered,
                 stored: false,
                 sent: None,
+                halt_sent: false,
                 halt: None,
                 halt_since: None,
                 former: false,
@@ -579,7 +599,10 @@
         if p.phase == Phase::Completed {
             return;
         }
-        p.halt = Some(p.halt.map_or(grace, |g| g.min(grace)));
+        if p.halt.is_none_or(|g| grace < g) {
+            p.halt = Some(grace);
+            p.halt_sent = false;
+        }
         p.halt_since.get_or_insert(now);
     }
 
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -152,7 +152,7 @@
             });
         }
         let Some(c) = i.cluster.as_mut() else { return Err(Response::refuse(503, "not ready")) };
-        match c.report(report, now) {
+        match c.report(report, true, now) {
             None => {
                 log::error!("{} has seen a token above ours", report.machine);
                 return Err(Response::refuse(503, "outdated"));
@@ -162,6 +162,9 @@
         }
         let wants = c.stir.then(|| c.place(now));
         let pending = c.start_pending(report);
+        if let Some(m) = c.machines.get_mut(&report.machine) {
+            m.answering = pending;
+        }
         if let Some(w) = wants {
             i.wants = w;
         }
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use serde::{Deserialize, Serialize};
 
 use crate::cluster::{Cluster, MachineRecord};
@@ -14,6 +15,7 @@
 use crate::model::*;
 use crate::node::Node;
 use crate::store::{key, read_value, Error, Outcome, Txn, Write};
+use crate::workers::Report;
 
 #[derive(Deserialize)]
 struct Types {
@@ -54,7 +56,8 @@
             }
         }
         self.to_place.wake();
-        let work = futures_lite::future::or(self.commits(a), self.placing());
+        let work =
+            futures_lite::future::or(self.commits(a), futures_lite::future::or(self.placing(), self.commanding()));
         let cloud = futures_lite::future::or(self.listing(a), self.cloud_work());
         futures_lite::future::or(futures_lite::future::or(work, cloud), self.ears()).await
     }
@@ -109,6 +112,7 @@
                         self.learn_fate(&id, Fate::Done, now);
                     }
                     self.stored.notify(usize::MAX);
+                    self.to_command.wake();
                     self.to_place.wake();
                 }
                 Ok(Outcome::Conflict(keys)) => {
@@ -157,10 +161,59 @@
                 }
             }
             self.to_commit.wake();
+            self.to_command.wake();
             smol::Timer::after(gap).await;
         }
     }
 
+    /// Sends what should not wait for the next report straight to workers.
+    async fn commanding(&self) -> &'static str {
+        let mut flying = FuturesUnordered::new();
+        loop {
+            if self.may_act(Instant::now()) {
+                let calls = self.lock().cluster.as_mut().map(|c| c.direct()).unwrap_or_default();
+                for d in calls {
+                    flying.push(async move {
+                        let body = http::encode(&d.body);
+                        let sent =
+                            self.workers.send(d.address, "POST", "/commands", Some(&body), self.policy.direct_limit);
+                        let report = match sent.await {
+                            Ok((200 | 409, body)) => http::decode::<Report>(&body).ok(),
+                            Ok((s, _)) => {
+                                log::info!("{} answers {s} to commands", d.machine);
+                                None
+                            }
+                            Err(e) => {
+                                log::debug!("{} commands: {e}", d.machine);
+                                None
+                            }
+                        };
+                        (d, report)
+                    });
+                }
+            }
+            let next = async {
+                match flying.next().await {
+                    Some(done) => Some(done),
+                    None => std::future::pending().await,
+                }
+            };
+            let woken = async {
+                self.to_command.wait(Duration::from_millis(500)).await;
+                None
+            };
+            if let Some((d, report)) = futures_lite::future::or(next, woken).await {
+                if let Some(c) = self.lock().cluster.as_mut() {
+                    c.direct_over(&d, report.as_ref(), Instant::now());
+                    if c.stir {
+                        self.to_place.wake();
+                    }
+                }
+                self.to_commit.wake();
+            }
+        }
+    }
+
     /// A leader that no worker reaches hands over to one they may reach.
     async fn ears(&self) -> &'static str {
         loop {
--- a/src/node.rs
+++ b/src/node.rs
@@ -106,6 +106,10 @@
     pub to_place: Wake,
     /// Something to store.
     pub to_commit: Wake,
+    /// Client for the workers.
+    pub workers: http::Client,
+    /// Something to tell workers.
+    pub to_command: Wake,
     /// A transaction of the leader's went through.
     pub stored: event_listener::Event,
     /// The leader changed.
@@ -137,6 +141,8 @@
             inner: Mutex::default(),
             to_place: Wake::default(),
             to_commit: Wake::default(),
+            workers: http::Client::default(),
+            to_command: Wake::default(),
             stored: event_listener::Event::new(),
             to_lead: Wake::default(),
             intake: Intake::default(),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -53,6 +53,8 @@
     pub cancel: Duration,
     /// How long a machine that is gone is remembered.
     pub tombstone: Duration,
+    /// How long a direct command may take.
+    pub direct_limit: Duration,
     /// How long an answer to a report waits for the store.
     pub commit_wait: Duration,
     /// Waits for images that differ by less than this count as equal.
@@ -89,6 +91,7 @@
             failure_rest: s(w.report_s * 2.0),
             cancel: s(w.cancel_s),
             tombstone: s(w.lease_s * 20.0),
+            direct_limit: s(w.report_s / 2.0),
             commit_wait: s(w.report_s / 10.0),
             fetch_grain_s: w.report_s,
             drift: 0.0005,
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -1,9 +1,11 @@
 //! Reports and the commands that answer them.
 //!
-//! Commands travel in answers to reports only.  A worker has one report in
-//! flight and drops answers that come late or for an earlier session, so its
-//! next report closes the answer before it: what that report does not list
-//! under the current session is not there, and will not come.
+//! Commands in answers to reports are safe: a worker has one report in flight
+//! and drops answers that come late or for an earlier session, so its next
+//! report closes the answer before it.  Direct commands are quicker but may be
+//! carried out minutes late: an unanswered start leaves its machine in doubt,
+//! and until a report shows a higher token, absence proves nothing there and
+//! nothing is reaped.
 
 use std::time::{Duration, Instant};
 
@@ -152,15 +154,43 @@
     pub orders: Vec<Command>,
 }
 
+/// A direct command's body.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct DirectBody {
+    /// Token.
+    #[serde(rename = "baton")]
+    pub token: u64,
+    /// Session.
+    #[serde(rename = "tenure")]
+    pub session: u64,
+    /// Commands, in order.
+    pub orders: Vec<Command>,
+}
+
+/// A direct command on its way to a worker.
+#[derive(Debug, Clone)]
+pub struct Direct {
+    /// Machine.
+    pub machine: Name,
+    /// Its worker.
+    pub address: std::net::SocketAddr,
+    /// What it says.
+    pub body: DirectBody,
+}
+
 /// Most commands in one answer; the rest follows with the next report.
 const MOST_COMMANDS: usize = 400;
 
 impl Cluster {
     /// Takes a report in.  `None`: the worker has seen a token above ours, so
     /// this controller has no say any more; else whether the report is news.
-    pub fn report(&mut self, r: &Report, now: Instant) -> Option<bool> {
+    ///
+    /// `closing`: it is a report proper, and no answer to an earlier one can
+    /// be carried out any more.  The report in the answer to a direct command
+    /// says nothing of that.
+    pub fn report(&mut self, r: &Report, closing: bool, now: Instant) -> Option<bool> {
         let token = self.token();
-        if r.token > token {
+        if r.token > token + self.machines.get(&r.machine).map_or(0, |m| m.fence) {
             return None;
         }
         let kind_size = self.types.get(&r.kind).map(|t| t.size());
@@ -183,6 +213,12 @@
         (m.session, m.tally) = (r.session, r.tally);
         m.token = m.token.max(r.token);
         m.heard = Some(now);
+        m.address = r.address.parse().ok();
+        // direct starts of a lower token, or for an earlier session, are dead
+        if session_changed || m.doubt.is_some_and(|t| r.token > t) {
+            m.doubt = None;
+        }
+        let settled = closing && m.doubt.is_none();
         if let Some(size) = kind_size {
             m.size = size;
         }
@@ -197,7 +233,7 @@
         }
         // a report under this term's token: no earlier leader's start is on
         // its way to this worker any more
-        let fenced = r.token == token;
+        let fenced = r.token >= token;
 
         // 1. what is placed here and not listed
         let gone: Vec<Task> = m
@@ -216,8 +252,9 @@
                 }
                 match p.phase {
                     // not sent yet, or not delivered: it is sent (again),
-                    // unless it is to stop, and then it is not there
-                    Phase::Ordered => p.halt.is_some() && (p.stored || p.sent.is_none()),
+                    // unless it is to stop, and then it is not there, if no
+                    // start can still arrive
+                    Phase::Ordered => p.halt.is_some() && settled,
                     Phase::Completed => false,
                     _ => true,
                 }
@@ -253,12 +290,20 @@
 
     /// The answer to a report that has been taken in.
     pub fn answer(&mut self, r: &Report, now: Instant) -> Answer {
-        let token = self.token();
+        let base = self.token();
         let mut orders = Vec::new();
-        let newest = |m: &&mut Machine| (m.session, m.tally) == (r.session, r.tally) && m.gone.is_none();
-        // a newer report is in: nobody waits for this answer any more
-        let Some(m) = self.machines.get_mut(&r.machine).filter(newest) else { return Answer { token, orders } };
-        for (task, e) in m.exited.iter().filter(|(_, e)| e.cleared) {
+        let Some(m) = self.machines.get_mut(&r.machine).filter(|m| m.gone.is_none()) else {
+            return Answer { token: base, orders };
+        };
+        let token = base + m.fence;
+        m.answering = false;
+        if (m.session, m.tally) != (r.session, r.tally) {
+            // newer news is in; the next answer has the commands
+            return Answer { token, orders };
+        }
+        // a reap must not overtake a start in doubt: the worker would forget
+        // the attempt, and the late start would run it again
+        for (task, e) in m.exited.iter().filter(|(_, e)| e.cleared && m.doubt.is_none()) {
             orders.push(Command::Reap { task: task.clone(), attempt: e.attempt });
         }
         for (task, p) in &m.tasks {
@@ -290,6 +335,68 @@
         Answer { token, orders }
     }
 
+    /// Commands that should not wait for the next report: stored starts and
+    /// new stops.  One call a machine at a time.
+    pub fn direct(&mut self) -> Vec<Direct> {
+        let base = self.token();
+        let mut calls = Vec::new();
+        for m in self.machines.values_mut() {
+            let Some(address) = m.address else { continue };
+            if m.flying
+                || m.answering
+                || m.gone.is_some()
+                || m.deleting.is_some()
+                || m.doubt.is_some()
+                || m.heard.is_none()
+            {
+                continue;
+            }
+            let token = base + m.fence;
+            let (mut orders, mut starts) = (Vec::new(), false);
+            for (task, p) in m.tasks.iter_mut().filter(|(_, p)| !p.halt_sent && p.phase != Phase::Ordered) {
+                if let Some(grace) = p.halt {
+                    p.halt_sent = true;
+                    orders.push(Command::Halt { task: task.clone(), attempt: p.attempt, grace });
+                }
+            }
+            for (task, p) in m.tasks.iter_mut() {
+                let ready = p.phase == Phase::Ordered && p.stored && !p.former && p.halt.is_none();
+                if ready && p.sent.is_none() && p.session == m.session && orders.len() < MOST_COMMANDS {
+                    p.sent = Some((m.session, m.tally));
+                    starts = true;
+                    orders.push(Command::Run { task: task.clone(), attempt: p.attempt });
+                }
+            }
+            if !orders.is_empty() {
+                m.flying = true;
+                if starts {
+                    m.doubt = Some(token);
+                }
+                let body = DirectBody { token, session: m.session, orders };
+                calls.push(Direct { machine: m.name.clone(), address, body });
+            }
+        }
+        calls
+    }
+
+    /// A direct command was answered (with the worker's report), or not.
+    pub fn direct_over(&mut self, d: &Direct, answer: Option<&Report>, now: Instant) {
+        let Some(m) = self.machines.get_mut(&d.machine) else { return };
+        m.flying = false;
+        match answer {
+            Some(r) => {
+                // carried out or refused, but nothing of it is under way
+                if m.doubt == Some(d.body.token) {
+                    m.doubt = None;
+                }
+                self.report(r, false, now);
+            }
+            // it may be carried out minutes later: the next answers carry a
+            // higher token, and a report that shows it ends the doubt
+            None => m.fence += 1,
+        }
+    }
+
     fn reported(&mut self, r: &Report, t: &Reported, now: Instant) {
         let over = self.jobs.get(&t.task.job).is_none_or(|j| j.fate.is_some() || j.done.contains(t.task.index));
         let finishing = self.jobs.get(&t.task.job).is_some_and(|j| j.finishing.contains(t.task.index));
@@ -363,6 +470,7 @@
                     phase,
                     stored: true,
                     sent: None,
+                    halt_sent: false,
                     halt,
                     halt_since: halt.map(|_| now),
                     former: false,
