--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -148,10 +148,29 @@
     fn ordered_queue(&self, now: Instant) -> Vec<Name> {
         let mut q: Vec<&Job> = self.jobs.values().filter(|j| j.fate.is_none() && !j.todo.is_empty()).collect();
         q.retain(|j| j.wait_until.is_none_or(|t| t <= now));
-        q.sort_by(|a, b| (turn(a), a.stamp, &a.spec.id).cmp(&(turn(b), b.stamp, &b.spec.id)));
+        q.sort_by(|a, b| {
+            (turn(a).cmp(&turn(b)))
+                .then(self.arrival(a).total_cmp(&self.arrival(b)))
+                .then((a.stamp, &a.spec.id).cmp(&(b.stamp, &b.spec.id)))
+        });
         q.into_iter().map(|j| j.spec.id.clone()).collect()
     }
 
+    /// When the next task of a job counts as arrived, in seconds.  The tasks
+    /// of an array count as arriving one after another, or one large array
+    /// would keep all that come after it waiting until it is through; and
+    /// earlier by the time they take, for a long task that starts late makes
+    /// its job late.
+    fn arrival(&self, j: &Job) -> f64 {
+        let known = j.known.saturating_duration_since(self.began).as_secs_f64();
+        if j.spec.shape != Shape::Array {
+            return known;
+        }
+        let started = f64::from(j.spec.tasks - j.todo.len().min(j.spec.tasks));
+        let bias = self.bias.get(&j.spec.class).copied().unwrap_or(1.0);
+        known + started * self.policy.task_spacing_s - j.spec.estimate_s * bias
+    }
+
     /// Sizes of the next tasks behind the head, for the dry run.
     fn lookahead(&self, queue: &[Name], most: usize) -> Vec<Size> {
         let mut sizes = Vec::new();
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -53,6 +53,8 @@
     pub cancel: Duration,
     /// How long a machine that is gone is remembered.
     pub tombstone: Duration,
+    /// The tasks of an array count as arriving so long after one another.
+    pub task_spacing_s: f64,
     /// How long a direct command may take.
     pub direct_limit: Duration,
     /// How long an answer to a report waits for the store.
@@ -91,6 +93,7 @@
             failure_rest: s(w.report_s * 2.0),
             cancel: s(w.cancel_s),
             tombstone: s(w.lease_s * 20.0),
+            task_spacing_s: w.report_s * 0.8,
             direct_limit: s(w.report_s / 2.0),
             commit_wait: s(w.report_s / 10.0),
             fetch_grain_s: w.report_s,
