--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -355,6 +355,8 @@
     pub types: BTreeMap<Name, MachineType>,
     /// The policy.
     pub policy: Arc<Policy>,
+    /// Time within which tasks of a class should start.
+    pub wait_aims: HashMap<Name, f64>,
     /// Teams' limits.
     pub teams: HashMap<Name, TeamLimit>,
     /// When this leader began.
@@ -397,6 +399,7 @@
             machines: BTreeMap::new(),
             types: BTreeMap::new(),
             policy,
+            wait_aims: HashMap::new(),
             teams,
             began: now,
             fleet: crate::fleet::Fleet::default(),
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -73,6 +73,12 @@
         let records = self.store.list(key::MACHINE).await?.0;
         let now = Instant::now();
         let mut c = Cluster::new(a.term, self.policy.clone(), self.teams(), now);
+        for o in self.config.deployment.objectives.iter().filter(|o| o.kind == "wait") {
+            if let (Some(class), Some(within)) = (&o.class, o.within_s) {
+                let aim = c.wait_aims.entry(class.as_str().into()).or_insert(within);
+                *aim = aim.min(within);
+            }
+        }
         let i = self.lock();
         c.set_types(&i.types);
         for k in i.jobs.values() {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -104,7 +104,7 @@
                 Shape::Array => count.min(policy.dry_run_tasks as u32 / 4),
                 _ => count,
             };
-            let held = self.hold_or_preempt(&spec, most, &zones, &mut slots, &used, now);
+            let held = self.hold_or_preempt(&spec, most, &zones, &mut slots, &used, f64::INFINITY, now);
             if held < most && !head_holds {
                 head_holds = true;
                 // a blocked head keeps its turn: the room that it will fit
@@ -214,9 +214,11 @@
         let spec = self.jobs.get(id)?.spec.clone();
         let size = spec.size();
         let mut zones = self.zones_of(id);
+        let aim = self.wait_aims.get(&spec.class).copied();
+        let mut held = 0;
         loop {
             let job = self.jobs.get_mut(id)?;
-            let index = job.todo.iter().next()?;
+            let index = job.todo.iter().nth(held)?;
             let team = used.entry(spec.team.clone()).or_default();
             if !limit.allows(team, &size) {
                 job.why = "its team is at its limit";
@@ -227,6 +229,14 @@
                 room = room.min(self.jobs.get(id)?.todo.len());
                 return Some((room, zones));
             };
+            // fetching the image would make it late: rather take room, if that
+            // may be, where the image is
+            if let Some(aim) = aim.filter(|a| self.image_wait(&spec, &slots[p.slot].name, now).0 > *a) {
+                if self.hold_or_preempt(&spec, 1, &zones, slots, used, aim, now) == 1 {
+                    held += 1;
+                    continue;
+                }
+            }
             used.entry(spec.team.clone()).or_default().give(&size);
             let s = &mut slots[p.slot];
             s.free.take(&size);
@@ -417,7 +427,8 @@
         Some(Pick { slot: c.at, how })
     }
 
-    /// For tasks that found no room: holds room that stops under way will
+    /// For tasks that found no room, on machines where the image takes no
+    /// longer than `most_wait`: holds room that stops under way will
     /// free, or stops work that has to give way.  Returns how many tasks will
     /// have a place.
     #[allow(clippy::too_many_arguments)]
@@ -428,6 +439,7 @@
         zones: &BTreeMap<Name, u32>,
         slots: &mut [Slot],
         used: &HashMap<Name, Size>,
+        most_wait: f64,
         now: Instant,
     ) -> u32 {
         let size = spec.size();
@@ -443,6 +455,10 @@
                 if !spec.allows(&s.kind, &s.zone, s.spot) || !s.whole.holds(&size) || !zone_ok(spec, &s.zone, &zones) {
                     continue;
                 }
+                let image = self.image_wait(spec, &s.name, now).0;
+                if image > most_wait {
+                    continue;
+                }
                 if soon[i].holds(&size) {
                     if best.as_ref().is_none_or(|b| b.0 > 0.0) {
                         best = Some((0.0, i, Vec::new()));
@@ -472,7 +488,7 @@
                     list.push((s.name.clone(), t.clone()));
                 }
                 // an image to fetch delays the start: prefer where it is
-                cost += self.image_wait(spec, &s.name, now).0 * spec.cpus;
+                cost += image * spec.cpus;
                 if room.holds(&size) && best.as_ref().is_none_or(|b| cost < b.0) {
                     best = Some((cost, i, list));
                 }
