--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -172,6 +172,15 @@
         all
     }
 
+    /// Room on machines that can be used now.
+    fn free_room(&self, now: Instant) -> Size {
+        let mut free = Size::default();
+        for m in self.machines.values().filter(|m| m.usable(now, &self.policy)) {
+            free.give(&m.free());
+        }
+        free
+    }
+
     fn returns(&mut self, plan: &mut Plan, now: Instant) {
         let policy = self.policy.clone();
         let mut spare = Size::default();
@@ -179,7 +188,12 @@
             spare.give(&m.size);
         }
         let all = self.guarantees();
-        spare.take(&Size { cpus: all.cpus * policy.kept_share, gpus: all.gpus * policy.kept_share, memory: 0.0 });
+        let part = |share: f64| Size { cpus: all.cpus * share, gpus: all.gpus * share, memory: 0.0 };
+        spare.take(&part(policy.kept_share));
+        // nothing is returned that would have to be rented again at once
+        let mut free = self.free_room(now);
+        free.take(&part(policy.headroom_share));
+        let bare = |size: &Size| Size { memory: 0.0, ..*size };
         let began = self.began;
         let quiet = |m: &Machine| now.duration_since(m.heard.unwrap_or(began.max(m.known)));
         let up = |m: &&Machine| {
@@ -203,6 +217,8 @@
                 Some("is being returned")
             } else if m.stage == Some(Stage::Failed) {
                 Some("has failed")
+            } else if m.notice.is_some_and(|t| t <= now) && silence > policy.fresh / 2 {
+                Some("was taken back")
             } else if unlisted && silence > policy.fresh {
                 Some("is silent and not listed")
             } else if m.heard.is_none() && m.stage != Some(Stage::Running) && m.tasks.is_empty() {
@@ -215,9 +231,11 @@
                 && m.tasks.is_empty()
                 && m.heard.is_some()
                 && now.duration_since(m.rented) > policy.idle
-                && spare.holds(&Size { memory: 0.0, ..m.size })
+                && spare.holds(&bare(&m.size))
+                && bare(&free).holds(&bare(&m.size))
             {
                 spare.take(&m.size);
+                free.take(&m.size);
                 Some("is idle")
             } else if m.tasks.values().any(|p| {
                 // stops of a cancelled job are pursued to the end
@@ -360,10 +378,7 @@
         let all = self.guarantees();
         let share = self.policy.headroom_share;
         let (cpus, gpus) = (all.cpus * share, all.gpus * share);
-        let mut free = Size::default();
-        for m in self.machines.values().filter(|m| m.usable(now, &self.policy)) {
-            free.give(&m.free());
-        }
+        let mut free = self.free_room(now);
         for (_, size) in coming.iter() {
             free.give(size);
         }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -214,7 +214,12 @@
         let spec = self.jobs.get(id)?.spec.clone();
         let size = spec.size();
         let mut zones = self.zones_of(id);
-        let aim = self.wait_aims.get(&spec.class).copied();
+        let mut aim = self.wait_aims.get(&spec.class).copied();
+        if spec.shape == Shape::Service {
+            // its users feel every second without a replica
+            let soon = self.policy.fetch_grain_s;
+            aim = Some(aim.map_or(soon, |a| a.min(soon)));
+        }
         let mut held = 0;
         loop {
             let job = self.jobs.get_mut(id)?;
