--- a/src/commit.rs
+++ b/src/commit.rs
@@ -6,7 +6,7 @@
 
 use crate::cluster::{Cluster, Exited, MachineRecord, Phase, CHUNK};
 use crate::model::*;
-use crate::store::{key, Guard, Item, Store, Txn, Write};
+use crate::store::{key, Guard, Item, Txn, TxnLimits, Write};
 
 /// A transaction and what its success means.
 #[derive(Debug, Default)]
@@ -22,8 +22,8 @@
 /// Bytes of a transaction; half the service's limit, which counts JSON.
 const MOST_BYTES: usize = 30 * 1024;
 
-fn room(b: &Batch, store: &Store, guards: usize) -> bool {
-    b.txn.writes.len() < store.most_writes && b.txn.guards.len() + guards <= store.most_guards && b.bytes < MOST_BYTES
+fn room(b: &Batch, most: &TxnLimits, guards: usize) -> bool {
+    b.txn.writes.len() < most.writes && b.txn.guards.len() + guards <= most.guards && b.bytes < MOST_BYTES
 }
 
 /// The key of a chunk of completed tasks.
@@ -34,13 +34,13 @@
 impl Cluster {
     /// The next transaction, if the store lacks anything.  `leader` is the
     /// stamp of the leader key: no write of a former leader gets through.
-    pub fn next_batch(&mut self, leader: u64, store: &Store) -> Option<Batch> {
+    pub fn next_batch(&mut self, leader: u64, most: &TxnLimits) -> Option<Batch> {
         let mut b = Batch::default();
         b.txn.guards.push(Guard { path: key::LEADER.into(), stamp: leader });
         // completed tasks first: their users wait
         for (id, job) in self.jobs.iter_mut().filter(|(_, j)| j.fate.is_none()) {
             while let Some(&c) = job.dirty_chunks.iter().next() {
-                if !room(&b, store, 2) {
+                if !room(&b, most, 2) {
                     break;
                 }
                 job.dirty_chunks.remove(&c);
@@ -57,7 +57,7 @@
             }
             // the last range and the end in one transaction, if it is all
             // that is left; the end never before the last range
-            if job.completing() && job.dirty_chunks.is_empty() && room(&b, store, 1) {
+            if job.completing() && job.dirty_chunks.is_empty() && room(&b, most, 1) {
                 let path = format!("{}{id}", key::FATE);
                 b.txn.guard(path.clone(), 0);
                 b.txn.writes.push(Write::set(path, &FateRecord { fate: Fate::Done }));
@@ -67,7 +67,7 @@
         for (name, m) in self.machines.iter_mut().filter(|(_, m)| m.dirty) {
             let mut fates: Vec<&Name> = m.tasks.iter().filter(|(_, p)| !p.stored).map(|(t, _)| &t.job).collect();
             fates.dedup();
-            if !room(&b, store, 1 + fates.len()) {
+            if !room(&b, most, 1 + fates.len()) {
                 if b.txn.writes.is_empty() {
                     log::error!("machine {name} has starts of {} jobs, too many for a transaction", fates.len());
                 }
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -238,7 +238,7 @@
         while let Ok(first) = queue.recv().await {
             let mut batch = vec![first];
             let mut bytes = 0;
-            while batch.len() < self.store.most_writes && bytes < 20_000 {
+            while batch.len() < self.store.most.writes && bytes < 20_000 {
                 let Ok(next) = queue.try_recv() else { break };
                 bytes += http::encode(&*next.0).len();
                 batch.push(next);
@@ -320,7 +320,7 @@
         let queue = &self.intake.checks.1;
         while let Ok(first) = queue.recv().await {
             let mut batch = vec![first];
-            while batch.len() < self.store.most_guards {
+            while batch.len() < self.store.most.guards {
                 let Ok(next) = queue.try_recv() else { break };
                 batch.push(next);
             }
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -103,7 +103,7 @@
     /// Stores what there is to store, one transaction at a time.
     async fn commits(&self, a: Authority) -> &'static str {
         loop {
-            let batch = self.lock().cluster.as_mut().and_then(|c| c.next_batch(a.stamp, &self.store));
+            let batch = self.lock().cluster.as_mut().and_then(|c| c.next_batch(a.stamp, &self.store.most));
             let Some(batch) = batch else {
                 self.to_commit.wait(Duration::from_millis(500)).await;
                 continue;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,5 +15,7 @@
 pub mod node;
 pub mod placement;
 pub mod policy;
+#[cfg(test)]
+mod sim;
 pub mod store;
 pub mod workers;
--- a/src/store.rs
+++ b/src/store.rs
@@ -238,16 +238,23 @@
     }
 }
 
+/// What one transaction may hold.
+#[derive(Debug, Clone, Copy)]
+pub struct TxnLimits {
+    /// Puts and deletes.
+    pub writes: usize,
+    /// Conditions.
+    pub guards: usize,
+}
+
 /// The client.
 pub struct Store {
     addr: SocketAddr,
     http: http::Client,
     calls: Mutex<Budget>,
     writes: Mutex<Budget>,
-    /// Most puts and deletes of one transaction of ours.
-    pub most_writes: usize,
-    /// Most conditions of one transaction.
-    pub most_guards: usize,
+    /// What one transaction may hold.
+    pub most: TxnLimits,
     last_served: Mutex<Instant>,
 }
 
@@ -266,8 +273,7 @@
             http: http::Client::default(),
             calls: Mutex::new(Budget::new(calls, calls, now)),
             writes: Mutex::new(Budget::new(writes, writes, now)),
-            most_writes,
-            most_guards: limits.txn_ops * 4,
+            most: TxnLimits { writes: most_writes, guards: limits.txn_ops * 4 },
             last_served: Mutex::new(now),
         }
     }
