gRPC between controllers: relay, progress, and leases kept through outages

A node the state service refuses relays; a leader whose siblings are refused too renews workers' leases without commands.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -80,11 +80,17 @@
         idle: Duration::from_secs(75),
         arrive: Duration::from_secs(10),
     };
-    let bind = config.bind;
+    let (bind, peer_bind) = (config.bind, config.peer_bind);
     let node = Arc::new(Node::new(config, Instant::now()));
     smol::block_on(ex.run(async {
         let listener = TcpListener::bind(bind).await?;
         log::info!("{} listens on {bind}", node.config.name);
+        let peers = TcpListener::bind(peer_bind).await?;
+        ex.spawn(node.clone().serve_peers(peers)).detach();
+        let (n, e) = (node.clone(), ex.clone());
+        ex.spawn(async move { n.peer_work(|w| e.spawn(w).detach()).await }).detach();
+        let n = node.clone();
+        ex.spawn(async move { n.follow().await }).detach();
         let n = node.clone();
         ex.spawn(async move { n.watch().await }).detach();
         let n = node.clone();
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -163,13 +163,26 @@
         plan
     }
 
-    /// All that the teams are guaranteed.
-    fn guarantees(&self) -> Size {
-        let mut all = Size::default();
-        for t in self.teams.values() {
+    /// A share of all that the teams are guaranteed, but no more than a
+    /// multiple of what they use: a guarantee that nobody draws on keeps no
+    /// machine.
+    fn guaranteed(&self, share: f64, multiple: f64) -> Size {
+        let (mut all, mut used) = (Size::default(), Size::default());
+        let usage = self.usage();
+        for (name, t) in self.teams.iter().filter(|(_, t)| t.guarantee.cpus > 0.0 || t.guarantee.gpus > 0.0) {
             all.give(&t.guarantee);
+            used.give(&usage.get(name).copied().unwrap_or_default());
         }
-        all
+        let part = |g: f64, u: f64| (g * share).min(u * multiple);
+        Size { cpus: part(all.cpus, used.cpus), gpus: part(all.gpus, used.gpus), memory: 0.0 }
+    }
+
+    fn kept(&self) -> Size {
+        self.guaranteed(self.policy.kept_share, self.policy.kept_multiple)
+    }
+
+    fn headroom_size(&self) -> Size {
+        self.guaranteed(self.policy.headroom_share, self.policy.headroom_multiple)
     }
 
     /// Room on machines that can be used now.
@@ -187,12 +200,10 @@
         for m in self.machines.values().filter(|m| m.gone.is_none() && m.deleting.is_none() && m.drain.is_none()) {
             spare.give(&m.size);
         }
-        let all = self.guarantees();
-        let part = |share: f64| Size { cpus: all.cpus * share, gpus: all.gpus * share, memory: 0.0 };
-        spare.take(&part(policy.kept_share));
+        spare.take(&self.kept());
         // nothing is returned that would have to be rented again at once
         let mut free = self.free_room(now);
-        free.take(&part(policy.headroom_share));
+        free.take(&self.headroom_size());
         let bare = |size: &Size| Size { memory: 0.0, ..*size };
         let began = self.began;
         let quiet = |m: &Machine| now.duration_since(m.heard.unwrap_or(began.max(m.known)));
@@ -375,9 +386,7 @@
         per_zone: &mut HashMap<Name, usize>,
         now: Instant,
     ) {
-        let all = self.guarantees();
-        let share = self.policy.headroom_share;
-        let (cpus, gpus) = (all.cpus * share, all.gpus * share);
+        let Size { cpus, gpus, .. } = self.headroom_size();
         let mut free = self.free_room(now);
         for (_, size) in coming.iter() {
             free.give(size);
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -71,22 +71,53 @@
 impl Node {
     /// Answers one request.
     pub async fn handle(self: Arc<Self>, r: Request) -> Response {
-        let id = r.path.strip_prefix("/v2/runs/");
         match (r.method.as_str(), r.path.as_str()) {
             ("GET", "/healthz") => self.health(),
             ("POST", "/hello") => self.hello(&r.body).await,
-            ("POST", "/v2/runs") => self.submit(&r.body).await,
-            (_, "/healthz" | "/hello" | "/v2/runs") => Response::refuse(405, "wrong method"),
-            (method, _) => match id {
-                Some(rest) => match (method, rest.strip_suffix("/withdraw")) {
-                    ("POST", Some(id)) if !id.contains('/') => self.withdraw(id).await,
-                    ("GET", None) if !rest.contains('/') => self.query(rest).await,
-                    (_, Some(id)) if !id.contains('/') => Response::refuse(405, "wrong method"),
-                    (_, None) if !rest.contains('/') && !rest.is_empty() => Response::refuse(405, "wrong method"),
-                    _ => Response::refuse(404, "no such path"),
-                },
-                None => Response::refuse(404, "no such path"),
-            },
+            (_, "/healthz" | "/hello") => Response::refuse(405, "wrong method"),
+            _ => {
+                // refused or cut off from the state service: a sibling may
+                // not be
+                let cut = self.store.failing();
+                if cut {
+                    if let Some(a) = self.relay(&r).await {
+                        return a;
+                    }
+                }
+                let copy = (!cut && self.peers.any()).then(|| Request {
+                    method: r.method.clone(),
+                    path: r.path.clone(),
+                    body: r.body.clone(),
+                });
+                let answer = self.clone().user(r).await;
+                match copy {
+                    Some(r) if answer.status == 503 && self.store.failing() => self.relay(&r).await.unwrap_or(answer),
+                    _ => answer,
+                }
+            }
+        }
+    }
+
+    /// Answers a user's request here.
+    pub async fn user(self: Arc<Self>, r: Request) -> Response {
+        let rest = r.path.strip_prefix("/v2/runs");
+        match (r.method.as_str(), rest) {
+            ("POST", Some("")) => return self.submit(&r.body).await,
+            (_, Some("")) => return Response::refuse(405, "wrong method"),
+            _ => {}
+        }
+        let Some(rest) = rest.and_then(|r| r.strip_prefix('/')) else { return Response::refuse(404, "no such path") };
+        let (id, withdraw) = match rest.strip_suffix("/withdraw") {
+            Some(id) => (id, true),
+            None => (rest, false),
+        };
+        if id.is_empty() || id.contains('/') {
+            return Response::refuse(404, "no such path");
+        }
+        match (r.method.as_str(), withdraw) {
+            ("POST", true) => self.withdraw(id).await,
+            ("GET", false) => self.query(id).await,
+            _ => Response::refuse(405, "wrong method"),
         }
     }
 
@@ -95,7 +126,11 @@
             let i = self.lock();
             i.synced && !i.types.is_empty()
         };
-        if ready && self.store.last_served().elapsed() < self.policy.ttl {
+        // without the state service a node can still relay, and in an outage
+        // it refuses at once: only one that reaches nobody is of no use
+        let now = Instant::now();
+        let cut = self.store.failing() && now.duration_since(self.store.last_served()) > self.policy.ttl;
+        if ready && (!cut || self.peers.reachable(self.policy.peer_limit * 3, now)) {
             Response::new(200, &JobState { id: "ok".into(), stage: "ok".into(), done: 0, running: 0 })
         } else {
             Response::refuse(503, "not ready")
@@ -144,6 +179,17 @@
         let mut i = self.lock();
         let now = Instant::now();
         if i.authority.is_none_or(|a| now >= a.until) {
+            // an outage of the state service, by the siblings' word: nobody
+            // can lead, and our lease outlives it.  The workers' leases are
+            // renewed, without commands; as silence is never a proof here,
+            // that is safe even if they were wrong
+            let fresh = self.policy.peer_limit * 3;
+            let outage = i.authority.is_some_and(|a| self.store.failing() && self.peers.outage(a.term, fresh, now));
+            if let Some(c) = i.cluster.as_mut().filter(|_| outage) {
+                if c.report(report, true, now).is_some() {
+                    return Err(Response::new(200, &c.keep_alive(&report.machine)));
+                }
+            }
             return Err(match &i.leader {
                 Some(l) if l.record.name != self.config.name => {
                     Response::new(421, &Redirect { answer_to: Some(&l.record.name) })
@@ -387,6 +433,8 @@
                         };
                         running += u32::from(list.iter().any(runs));
                     }
+                } else {
+                    (done, running) = self.peers.progress(id);
                 }
             }
         }
@@ -398,6 +446,24 @@
         JobState { id: id.clone(), stage: stage.into(), done, running }
     }
 
+    /// Done and running tasks of all jobs that are not over, for siblings.
+    pub fn progress(&self) -> Vec<crate::peers::wire::Progress> {
+        let i = self.lock();
+        let Some(c) = i.cluster.as_ref() else { return Vec::new() };
+        let mut running: std::collections::HashMap<&Name, u32> = std::collections::HashMap::new();
+        for (t, p) in c.machines.values().flat_map(|m| &m.tasks) {
+            *running.entry(&t.job).or_default() += u32::from(p.phase == crate::cluster::Phase::Running);
+        }
+        let of = |j: &crate::cluster::Job| crate::peers::wire::Progress {
+            id: j.spec.id.to_string(),
+            done: j.done.len(),
+            running: running.get(&j.spec.id).copied().unwrap_or(0),
+        };
+        let mut jobs: Vec<_> = c.jobs.values().filter(|j| j.fate.is_none()).map(of).collect();
+        jobs.retain(|j| j.done + j.running > 0);
+        jobs
+    }
+
     async fn query(&self, id: &str) -> Response {
         if !valid_id(id) {
             return Response::refuse(404, "no such job");
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod leadership;
 pub mod model;
 pub mod node;
+pub mod peers;
 pub mod placement;
 pub mod policy;
 #[cfg(test)]
--- a/src/node.rs
+++ b/src/node.rs
@@ -106,6 +106,8 @@
     pub to_place: Wake,
     /// Something to store.
     pub to_commit: Wake,
+    /// The other controllers.
+    pub peers: crate::peers::Peers,
     /// Client for the workers.
     pub workers: http::Client,
     /// Something to tell workers.
@@ -141,6 +143,7 @@
             inner: Mutex::default(),
             to_place: Wake::default(),
             to_commit: Wake::default(),
+            peers: crate::peers::Peers::new(&config.siblings),
             workers: http::Client::default(),
             to_command: Wake::default(),
             stored: event_listener::Event::new(),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -43,6 +43,10 @@
     /// Share of all guarantees that is kept on hand, busy or not: a guarantee
     /// is worth nothing without the machines.
     pub kept_share: f64,
+    /// … but no more than so many times what is in use.
+    pub kept_multiple: f64,
+    /// … but no more than so many times what is in use.
+    pub headroom_multiple: f64,
     /// Share of all guarantees that is kept free for what comes next.
     pub headroom_share: f64,
     /// Queued work of arrays is to be done within this.
@@ -55,6 +59,8 @@
     pub tombstone: Duration,
     /// The tasks of an array count as arriving so long after one another.
     pub task_spacing_s: f64,
+    /// How long a sibling may take to answer.
+    pub peer_limit: Duration,
     /// How long a direct command may take.
     pub direct_limit: Duration,
     /// How long an answer to a report waits for the store.
@@ -88,12 +94,15 @@
             list_lag: s(config.deployment.cloud.list_lag_s),
             capacity_rest: s(w.lease_s / 2.0),
             kept_share: 1.0,
+            kept_multiple: 2.0,
+            headroom_multiple: 0.5,
             headroom_share: 0.2,
             horizon_s: w.lease_s * 2.0,
             failure_rest: s(w.report_s * 2.0),
             cancel: s(w.cancel_s),
             tombstone: s(w.lease_s * 20.0),
             task_spacing_s: w.report_s * 0.8,
+            peer_limit: s(w.report_s / 3.0),
             direct_limit: s(w.report_s / 2.0),
             commit_wait: s(w.report_s / 10.0),
             fetch_grain_s: w.report_s,
--- a/src/store.rs
+++ b/src/store.rs
@@ -6,6 +6,7 @@
 //! a late one finds other stamps and does nothing.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
@@ -256,6 +257,7 @@
     /// What one transaction may hold.
     pub most: TxnLimits,
     last_served: Mutex<Instant>,
+    failing: AtomicBool,
 }
 
 /// How long an ordinary request may take.
@@ -275,6 +277,7 @@
             writes: Mutex::new(Budget::new(writes, writes, now)),
             most: TxnLimits { writes: most_writes, guards: limits.txn_ops * 4 },
             last_served: Mutex::new(now),
+            failing: AtomicBool::new(false),
         }
     }
 
@@ -289,6 +292,11 @@
         }
     }
 
+    /// Whether the last request was refused or got no answer.
+    pub fn failing(&self) -> bool {
+        self.failing.load(Ordering::Relaxed)
+    }
+
     /// When the state service last carried out something for us.
     pub fn last_served(&self) -> Instant {
         *self.last_served.lock().unwrap_or_else(|e| e.into_inner())
@@ -301,7 +309,10 @@
         body: Option<&[u8]>,
         limit: Duration,
     ) -> Result<(u16, Vec<u8>), Error> {
-        let (status, body) = self.http.send(self.addr, method, target, body, limit).await?;
+        let sent = self.http.send(self.addr, method, target, body, limit).await;
+        // 429 is a matter of pace: the service is there
+        self.failing.store(!matches!(sent, Ok((..500, _))), Ordering::Relaxed);
+        let (status, body) = sent?;
         match status {
             429 | 500.. => Err(Error::Refused(status)),
             _ => {
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -335,6 +335,12 @@
         Answer { token, orders }
     }
 
+    /// An answer that only renews the worker's lease.
+    pub fn keep_alive(&self, machine: &Name) -> Answer {
+        let fence = self.machines.get(machine).map_or(0, |m| m.fence);
+        Answer { token: self.token() + fence, orders: Vec::new() }
+    }
+
     /// Commands that should not wait for the next report: stored starts and
     /// new stops.  One call a machine at a time.
     pub fn direct(&mut self) -> Vec<Direct> {
