--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -164,11 +164,16 @@
     }
 
     /// A share of all that the teams are guaranteed, but no more than a
-    /// multiple of what they use: a guarantee that nobody draws on keeps no
+    /// multiple of what they use or wait for: a guarantee that nobody draws on keeps no
     /// machine.
     fn guaranteed(&self, share: f64, multiple: f64) -> Size {
         let (mut all, mut used) = (Size::default(), Size::default());
-        let usage = self.usage();
+        let mut usage = self.usage();
+        for j in self.jobs.values().filter(|j| j.fate.is_none()) {
+            let (n, s) = (f64::from(j.todo.len()), j.spec.size());
+            let waits = Size { cpus: s.cpus * n, gpus: s.gpus * n, memory: 0.0 };
+            usage.entry(j.spec.team.clone()).or_default().give(&waits);
+        }
         for (name, t) in self.teams.iter().filter(|(_, t)| t.guarantee.cpus > 0.0 || t.guarantee.gpus > 0.0) {
             all.give(&t.guarantee);
             used.give(&usage.get(name).copied().unwrap_or_default());
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -104,7 +104,8 @@
                 Shape::Array => count.min(policy.dry_run_tasks as u32 / 4),
                 _ => count,
             };
-            let held = self.hold_or_preempt(&spec, most, &zones, &mut slots, &used, f64::INFINITY, now);
+            let held =
+                self.hold_or_preempt(&spec, most, &zones, &mut slots, &used, (f64::INFINITY, f64::INFINITY), now);
             if held < most && !head_holds {
                 head_holds = true;
                 // a blocked head keeps its turn: the room that it will fit
@@ -198,6 +199,18 @@
         zones
     }
 
+    /// How soon a job's tasks should start, if anything is said of it.
+    fn wait_aim(&self, id: &Name) -> Option<f64> {
+        let j = self.jobs.get(id)?;
+        let aims = [
+            self.wait_aims.get(&j.spec.class).copied(),
+            // the users of a service feel every second without a replica
+            (j.spec.shape == Shape::Service).then_some(self.policy.fetch_grain_s),
+            j.guaranteed.then_some(self.policy.guarantee_wait_s),
+        ];
+        aims.into_iter().flatten().min_by(f64::total_cmp)
+    }
+
     /// Places tasks of an array or service one by one.  Returns how many
     /// found no room, or `None` if room is not what they lack.
     #[allow(clippy::too_many_arguments)]
@@ -214,12 +227,7 @@
         let spec = self.jobs.get(id)?.spec.clone();
         let size = spec.size();
         let mut zones = self.zones_of(id);
-        let mut aim = self.wait_aims.get(&spec.class).copied();
-        if spec.shape == Shape::Service {
-            // its users feel every second without a replica
-            let soon = self.policy.fetch_grain_s;
-            aim = Some(aim.map_or(soon, |a| a.min(soon)));
-        }
+        let aim = self.wait_aim(id);
         let mut held = 0;
         loop {
             let job = self.jobs.get_mut(id)?;
@@ -236,8 +244,9 @@
             };
             // fetching the image would make it late: rather take room, if that
             // may be, where the image is
-            if let Some(aim) = aim.filter(|a| self.image_wait(&spec, &slots[p.slot].name, now).0 > *a) {
-                if self.hold_or_preempt(&spec, 1, &zones, slots, used, aim, now) == 1 {
+            let wait = self.image_wait(&spec, &slots[p.slot].name, now).0;
+            if let Some(aim) = aim.filter(|a| wait > *a) {
+                if self.hold_or_preempt(&spec, 1, &zones, slots, used, (aim, wait), now) == 1 {
                     held += 1;
                     continue;
                 }
@@ -330,9 +339,15 @@
                 best = Some((slowest, picks));
             }
         }
-        let Some((_, picks)) = best else {
+        let Some((slowest, picks)) = best else {
             return Some((todo.len() as u32, present));
         };
+        if let Some(aim) = self.wait_aim(id).filter(|a| slowest > *a) {
+            let n = todo.len() as u32;
+            if self.hold_or_preempt(&spec, n, &present, slots, used, (aim, slowest), now) == n {
+                return None;
+            }
+        }
         let attempt = if replace { self.jobs.get(id)?.attempt } else { self.new_attempt() };
         self.jobs.get_mut(id)?.attempt = attempt;
         for (index, p) in todo.into_iter().zip(picks) {
@@ -433,7 +448,7 @@
     }
 
     /// For tasks that found no room, on machines where the image takes no
-    /// longer than `most_wait`: holds room that stops under way will
+    /// longer than `most_wait`, and of work that saves within `patience`: holds room that stops under way will
     /// free, or stops work that has to give way.  Returns how many tasks will
     /// have a place.
     #[allow(clippy::too_many_arguments)]
@@ -444,7 +459,7 @@
         zones: &BTreeMap<Name, u32>,
         slots: &mut [Slot],
         used: &HashMap<Name, Size>,
-        most_wait: f64,
+        (most_wait, patience): (f64, f64),
         now: Instant,
     ) -> u32 {
         let size = spec.size();
@@ -477,6 +492,7 @@
                     .filter(|(t, p)| {
                         p.present() && p.halt.is_none() && !p.former && !taken.contains(&(s.name.clone(), (*t).clone()))
                     })
+                    .filter(|(_, p)| p.spec.checkpoint_s == 0.0 || p.spec.save_s < patience)
                     .filter(|(_, p)| {
                         self.jobs.get(&p.spec.id).is_some_and(|of| gives_way(job, of, &self.teams, &spared))
                     })
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -59,6 +59,8 @@
     pub tombstone: Duration,
     /// The tasks of an array count as arriving so long after one another.
     pub task_spacing_s: f64,
+    /// Work within a guarantee should start within this.
+    pub guarantee_wait_s: f64,
     /// How long a sibling may take to answer.
     pub peer_limit: Duration,
     /// How long a direct command may take.
@@ -102,6 +104,7 @@
             cancel: s(w.cancel_s),
             tombstone: s(w.lease_s * 20.0),
             task_spacing_s: w.report_s * 0.8,
+            guarantee_wait_s: w.lease_s * 0.8,
             peer_limit: s(w.report_s / 3.0),
             direct_limit: s(w.report_s / 2.0),
             commit_wait: s(w.report_s / 10.0),
