--- a/src/policy.rs
+++ b/src/policy.rs
@@ -87,7 +87,7 @@
             deaf: s(w.report_s * 3.5),
             silent_share: 0.34,
             most_tasks: ((config.deployment.state.value_kb * 1024.0 / 72.0) as usize).max(4),
-            idle: s(w.lease_s * 1.7),
+            idle: s(w.lease_s * 1.0),
             boot_factor: 4.0,
             variance_threshold: 0.05,
             load_threshold: 1.0,
