Policy: a small expression language with a checker; every tunable has one home

All errors at once, with place, line and suggestion; check prints each value with its expression. A hanging watch is opened anew sooner: the simulated world found a withdrawal reaching the leader too late by one that hung.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,6 +1,6 @@
 //! The command line.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -12,6 +12,7 @@
 use crate::config::Config;
 use crate::http::{serve, ServerLimits};
 use crate::node::Node;
+use crate::policy::{Checked, Policy};
 
 #[derive(Parser)]
 #[command(name = "coralnotch", version, about = "A cluster scheduler")]
@@ -27,12 +28,19 @@
         /// The platform's settings file.
         #[arg(long)]
         config: PathBuf,
+        /// The operators' policy file, on top of the default policy.
+        #[arg(long)]
+        policy: Option<PathBuf>,
     },
-    /// Check a settings file without starting anything.
+    /// Check settings and policy without starting anything; prints each
+    /// tunable with the expression that gave it.
     Check {
         /// The platform's settings file.
         #[arg(long)]
         config: PathBuf,
+        /// The operators' policy file, on top of the default policy.
+        #[arg(long)]
+        policy: Option<PathBuf>,
     },
 }
 
@@ -47,22 +55,25 @@
         .parse_env("LOG_LEVEL")
         .target(env_logger::Target::Stderr)
         .init();
-    let (path, run) = match &args.command {
-        Command::Serve { config } => (config, true),
-        Command::Check { config } => (config, false),
+    let (config, policy, run) = match &args.command {
+        Command::Serve { config, policy } => (config, policy, true),
+        Command::Check { config, policy } => (config, policy, false),
     };
-    let config = match Config::load(path) {
-        Ok(c) => c,
+    let (settings, checked) = match load(config, policy.as_deref()) {
+        Ok(l) => l,
         Err(e) => {
-            eprintln!("coralnotch: {e}");
+            eprintln!("{e}");
             return ExitCode::from(BAD_SETTINGS);
         }
     };
     if !run {
-        println!("{}: settings are in order", path.display());
+        for (name, value, origin) in &checked.origins {
+            println!("{name:20} {value:>12}  = {origin}");
+        }
+        println!("{}: settings and policy are in order", config.display());
         return ExitCode::SUCCESS;
     }
-    match daemon(config) {
+    match daemon(settings, checked.policy) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("coralnotch: {e}");
@@ -71,8 +82,24 @@
     }
 }
 
+/// Reads settings and policy; the error is all that is wrong with them.
+fn load(config: &Path, policy: Option<&Path>) -> Result<(Config, Checked), String> {
+    let config = Config::load(config).map_err(|e| format!("coralnotch: {e}"))?;
+    let own = match policy {
+        None => None,
+        Some(p) => {
+            let text = std::fs::read_to_string(p).map_err(|e| format!("coralnotch: {}: {e}", p.display()))?;
+            Some((p.display().to_string(), text))
+        }
+    };
+    let own = own.as_ref().map(|(f, t)| (f.as_str(), t.as_str()));
+    let checked = crate::policy::check(&config, own)
+        .map_err(|faults| faults.iter().map(|f| f.to_string()).collect::<Vec<_>>().join("\n"))?;
+    Ok((config, checked))
+}
+
 /// Runs a controller on this thread.
-fn daemon(config: Config) -> std::io::Result<()> {
+fn daemon(config: Config, policy: Policy) -> std::io::Result<()> {
     let ex = Rc::new(smol::LocalExecutor::new());
     let limits = ServerLimits {
         // sockets are left for the state service, the cloud and siblings
@@ -81,7 +108,7 @@
         arrive: Duration::from_secs(10),
     };
     let (bind, peer_bind) = (config.bind, config.peer_bind);
-    let node = Arc::new(Node::new(config, Instant::now()));
+    let node = Arc::new(Node::new(config, policy, Instant::now()));
     smol::block_on(ex.run(async {
         let listener = TcpListener::bind(bind).await?;
         log::info!("{} listens on {bind}", node.config.name);
--- a/src/node.rs
+++ b/src/node.rs
@@ -131,8 +131,8 @@
 
 impl Node {
     /// A controller that has not started yet.
-    pub fn new(config: Config, now: Instant) -> Node {
-        let policy = Arc::new(Policy::new(&config));
+    pub fn new(config: Config, policy: Policy, now: Instant) -> Node {
+        let policy = Arc::new(policy);
         let rps = config.deployment.cloud.rps;
         let store = Store::new(config.services.state, &config.deployment.state, now);
         Node {
--- a/src/sim.rs
+++ b/src/sim.rs
@@ -16,7 +16,7 @@
 use crate::store::{key, read_value, Item, Txn, TxnLimits, Write};
 use crate::workers::*;
 
-const SETTINGS: &str = r#"
+pub const SETTINGS: &str = r#"
 host_name = "a"
 domain = "z0"
 bind = "127.0.0.1:1"
@@ -223,7 +223,7 @@
             rng,
             t0: Instant::now(),
             now: 0,
-            policy: Arc::new(Policy::new(&config)),
+            policy: Arc::new(Policy::new(&config).expect("the default policy")),
             teams: HashMap::from([("x".into(), limit), ("y".into(), limit)]),
             store: Store::default(),
             workers,
@@ -312,7 +312,10 @@
         if self.store.apply(&txn).is_ok() {
             self.cancelled.insert(id.clone(), self.now);
             for to in 0..3 {
-                self.send(Message::Fate { to, id: id.clone(), fate: Fate::Cancelled });
+                // a watch that hangs is opened anew within a third of cancel_s
+                self.serial += 1;
+                let at = self.now + self.rng.u64(1..200) * STEP;
+                self.mail.insert((at, self.serial), Message::Fate { to, id: id.clone(), fate: Fate::Cancelled });
             }
         }
     }
--- a/src/store.rs
+++ b/src/store.rs
@@ -374,7 +374,9 @@
     pub async fn changes(&self, prefix: &str, since: u64, block: Duration) -> Result<(Vec<Event>, u64), Error> {
         self.pace(0).await;
         let target = format!("/changes?under={prefix}&since={since}&blockMs={}", block.as_millis());
-        match self.call("GET", &target, None, block * 3 + LIMIT).await? {
+        // a watch that hangs must not keep a withdrawal from the leader: it is
+        // opened anew soon, from where it was
+        match self.call("GET", &target, None, block + LIMIT * 2).await? {
             (200, body) => {
                 let c: Changes = http::decode(&body)?;
                 Ok((c.news, c.epoch))
