--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -199,6 +199,47 @@
         free
     }
 
+    /// One job of each class whose tasks should start sooner than a machine
+    /// boots: room for the next ones has to be there before they come.
+    fn urgent(&self) -> Vec<std::sync::Arc<Spec>> {
+        let boot = self.types.values().map(|t| t.boot_s).fold(f64::INFINITY, f64::min);
+        let newest = |class: &Name| {
+            let of = self.jobs.values().filter(|j| j.fate.is_none() && j.spec.class == *class);
+            of.max_by_key(|j| j.stamp).map(|j| j.spec.clone())
+        };
+        self.wait_aims.iter().filter(|(_, aim)| **aim < boot).filter_map(|(class, _)| newest(class)).collect()
+    }
+
+    /// How many tasks of a job a machine could take at once, counting what
+    /// would give way to them.
+    fn ready_room(&self, m: &Machine, spec: &Spec, now: Instant) -> usize {
+        if !m.usable(now, &self.policy) || !spec.allows(&m.kind, &m.zone, m.spot) {
+            return 0;
+        }
+        let mut room = m.free();
+        for p in m.tasks.values().filter(|p| p.present() && p.spec.rank > spec.rank) {
+            room.give(&p.spec.size());
+        }
+        room.count(&spec.size(), 1000)
+    }
+
+    /// Idle machines without which an urgent class would lack room.
+    fn needed_idle(&self, now: Instant) -> std::collections::HashSet<Name> {
+        let mut needed = std::collections::HashSet::new();
+        for spec in self.urgent() {
+            let mut room: usize = self.machines.values().map(|m| self.ready_room(m, &spec, now)).sum();
+            for m in self.machines.values().filter(|m| m.tasks.is_empty()) {
+                let here = self.ready_room(m, &spec, now);
+                if here > 0 && room < self.policy.urgent_room + here {
+                    needed.insert(m.name.clone());
+                } else {
+                    room -= here;
+                }
+            }
+        }
+        needed
+    }
+
     fn returns(&mut self, plan: &mut Plan, now: Instant) {
         let policy = self.policy.clone();
         let mut spare = Size::default();
@@ -220,6 +261,7 @@
         // many at once: that is the network, and they may well be working
         let mass = silent > 2 && silent as f64 > total as f64 * policy.silent_share;
         let listed = self.fleet.listed;
+        let needed = self.needed_idle(now);
         let mut moves: Vec<(Name, Task)> = Vec::new();
         for m in self.machines.values_mut().filter(|m| m.gone.is_none()) {
             let silence = now.duration_since(m.heard.unwrap_or(began.max(m.known)));
@@ -248,6 +290,7 @@
                 && m.heard.is_some()
                 && now.duration_since(m.rented) > policy.idle
                 && spare.holds(&bare(&m.size))
+                && !needed.contains(&m.name)
                 && bare(&free).holds(&bare(&m.size))
             {
                 spare.take(&m.size);
@@ -321,7 +364,13 @@
             .filter(|p| p.present() && p.spec.shape == Shape::Array && p.halt.is_none())
             .count() as f64;
         let mut new: BTreeMap<Pool, u32> = BTreeMap::new();
-        for w in wants {
+        let mut wants = wants.to_vec();
+        for spec in self.urgent() {
+            let room: usize = self.machines.values().map(|m| self.ready_room(m, &spec, now)).sum();
+            let count = self.policy.urgent_room.saturating_sub(room) as u32;
+            wants.push(Want { spec, count, zones: BTreeMap::new() });
+        }
+        for w in &wants {
             let spec = &w.spec;
             let size = spec.size();
             let mut count = w.count;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -132,6 +132,9 @@
     headroom_share: f64 as f64, 0.0 ..= 10.0;
     /// … but no more than so many times what is drawn on.
     headroom_multiple: f64 as f64, 0.0 ..= 100.0;
+    /// Tasks for which room is kept, of each class whose tasks should start
+    /// sooner than a machine boots.
+    urgent_room: usize as usize, 0.0 ..= 1000.0;
     /// Queued work of arrays is to be done within this, in seconds.
     horizon_s: f64 as Seconds, 1.0 ..= 86400.0;
     /// Rest of a machine or a job after a failure, doubled by each further.
