--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -368,7 +368,8 @@
         for spec in self.urgent() {
             let room: usize = self.machines.values().map(|m| self.ready_room(m, &spec, now)).sum();
             let count = self.policy.urgent_room.saturating_sub(room) as u32;
-            wants.push(Want { spec, count, zones: BTreeMap::new() });
+            // first, or arrays would fill what is on its way in every pass
+            wants.insert(0, Want { spec, count, zones: BTreeMap::new() });
         }
         for w in &wants {
             let spec = &w.spec;
