Clean up: one search for the cheapest pool, requests by reference, no copies

Found on reading the change again: the pool search and the sum of ready room stood twice, each request's body was copied for a relay that rarely comes, the simulated worker was built in two places.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -46,7 +46,7 @@
     pub stored: bool,
     /// Order of the report whose answer last carried the start.
     pub sent: Option<(u64, u64)>,
-    /// Order at which a direct stop was last sent.
+    /// The stop has been sent directly; answers to reports repeat it.
     pub halt_sent: bool,
     /// Stop it, with this grace.
     pub halt: Option<f64>,
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -164,14 +164,13 @@
     }
 
     /// A share of all that the teams are guaranteed, but no more than a
-    /// multiple of what they use or wait for: a guarantee that nobody draws on keeps no
-    /// machine.
+    /// multiple of what they use or wait for: a guarantee that nobody draws on
+    /// keeps no machine.
     fn guaranteed(&self, share: f64, multiple: f64) -> Size {
         let (mut all, mut used) = (Size::default(), Size::default());
         let mut usage = self.usage();
         for j in self.jobs.values().filter(|j| j.fate.is_none()) {
-            let (n, s) = (f64::from(j.todo.len()), j.spec.size());
-            let waits = Size { cpus: s.cpus * n, gpus: s.gpus * n, memory: 0.0 };
+            let waits = j.spec.size().times(f64::from(j.todo.len()));
             usage.entry(j.spec.team.clone()).or_default().give(&waits);
         }
         for (name, t) in self.teams.iter().filter(|(_, t)| t.guarantee.cpus > 0.0 || t.guarantee.gpus > 0.0) {
@@ -223,11 +222,43 @@
         room.count(&spec.size(), 1000)
     }
 
+    fn all_ready_room(&self, spec: &Spec, now: Instant) -> usize {
+        self.machines.values().map(|m| self.ready_room(m, spec, now)).sum()
+    }
+
+    /// The cheapest pool that may be asked now, of equally cheap ones that in
+    /// the zone with fewest machines. `unit` tells how much of what is wanted
+    /// a machine of a type gives; none, and the type is passed over.
+    fn cheapest(
+        &self,
+        per_zone: &HashMap<Name, usize>,
+        now: Instant,
+        unit: impl Fn(&MachineType) -> Option<f64>,
+        allowed: impl Fn(&Pool) -> bool,
+    ) -> Option<(Pool, Size)> {
+        let mut best: Option<(f64, usize, Pool, Size)> = None;
+        for t in self.types.values() {
+            let Some(unit) = unit(t) else { continue };
+            for (zone, spot) in t.zones.iter().flat_map(|z| [(z, true), (z, false)]) {
+                let pool = (t.name.clone(), zone.clone(), spot);
+                if self.fleet.resting.get(&pool).is_some_and(|r| *r > now) || !allowed(&pool) {
+                    continue;
+                }
+                let cost = if spot { t.spot_price } else { t.price } / unit;
+                let here = per_zone.get(zone).copied().unwrap_or(0);
+                if best.as_ref().is_none_or(|b| (cost, here) < (b.0, b.1)) {
+                    best = Some((cost, here, pool, t.size()));
+                }
+            }
+        }
+        best.map(|(_, _, pool, size)| (pool, size))
+    }
+
     /// Idle machines without which an urgent class would lack room.
     fn needed_idle(&self, now: Instant) -> std::collections::HashSet<Name> {
         let mut needed = std::collections::HashSet::new();
         for spec in self.urgent() {
-            let mut room: usize = self.machines.values().map(|m| self.ready_room(m, &spec, now)).sum();
+            let mut room = self.all_ready_room(&spec, now);
             for m in self.machines.values().filter(|m| m.tasks.is_empty()) {
                 let here = self.ready_room(m, &spec, now);
                 if here > 0 && room < self.policy.urgent_room + here {
@@ -366,7 +397,7 @@
         let mut new: BTreeMap<Pool, u32> = BTreeMap::new();
         let mut wants = wants.to_vec();
         for spec in self.urgent() {
-            let room: usize = self.machines.values().map(|m| self.ready_room(m, &spec, now)).sum();
+            let room = self.all_ready_room(&spec, now);
             let count = self.policy.urgent_room.saturating_sub(room) as u32;
             // first, or arrays would fill what is on its way in every pass
             wants.insert(0, Want { spec, count, zones: BTreeMap::new() });
@@ -392,29 +423,10 @@
                     *zones.entry(p.1.clone()).or_insert(0) += 1;
                     continue;
                 }
-                let mut best: Option<(f64, usize, Pool, Size)> = None;
-                for t in self.types.values().filter(|t| t.size().holds(&size)) {
-                    for zone in &t.zones {
-                        for spot in [true, false] {
-                            let pool = (t.name.clone(), zone.clone(), spot);
-                            if !fits(&pool, &zones)
-                                || spot && spec.shape == Shape::Service
-                                || self.fleet.resting.get(&pool).is_some_and(|r| *r > now)
-                            {
-                                continue;
-                            }
-                            // the whole machine where the rest of the job
-                            // fills it, else the share the task takes
-                            let n = t.size().count(&size, 1000).max(1) as f64;
-                            let cost = if spot { t.spot_price } else { t.price } / n;
-                            let here = per_zone.get(zone).copied().unwrap_or(0);
-                            if best.as_ref().is_none_or(|b| (cost, here) < (b.0, b.1)) {
-                                best = Some((cost, here, pool, t.size()));
-                            }
-                        }
-                    }
-                }
-                let Some((_, _, pool, mut free)) = best else { break };
+                // by the share of a machine that the task takes
+                let unit = |t: &MachineType| t.size().holds(&size).then(|| t.size().count(&size, 1000).max(1) as f64);
+                let allowed = |p: &Pool| fits(p, &zones) && !(p.2 && spec.shape == Shape::Service);
+                let Some((pool, mut free)) = self.cheapest(&per_zone, now, unit, allowed) else { break };
                 free.take(&size);
                 *zones.entry(pool.1.clone()).or_insert(0) += 1;
                 *per_zone.entry(pool.1.clone()).or_default() += 1;
@@ -448,22 +460,11 @@
         }
         // the cheapest way to what is missing
         while free.cpus + 1e-6 < cpus || free.gpus + 1e-6 < gpus {
-            let mut best: Option<(f64, usize, Pool, Size)> = None;
-            for t in self.types.values().filter(|t| t.cpus > 0.0 && (t.gpus > 0.0 || gpus <= 0.0)) {
-                for (zone, spot) in t.zones.iter().flat_map(|z| [(z, true), (z, false)]) {
-                    let pool = (t.name.clone(), zone.clone(), spot);
-                    if self.fleet.resting.get(&pool).is_some_and(|r| *r > now) {
-                        continue;
-                    }
-                    let unit = if gpus > 0.0 { t.gpus } else { t.cpus };
-                    let cost = if spot { t.spot_price } else { t.price } / unit;
-                    let here = per_zone.get(zone).copied().unwrap_or(0);
-                    if best.as_ref().is_none_or(|b| (cost, here) < (b.0, b.1)) {
-                        best = Some((cost, here, pool, t.size()));
-                    }
-                }
-            }
-            let Some((_, _, pool, size)) = best else { break };
+            let unit = |t: &MachineType| match gpus > 0.0 {
+                true => (t.cpus > 0.0 && t.gpus > 0.0).then_some(t.gpus),
+                false => (t.cpus > 0.0).then_some(t.cpus),
+            };
+            let Some((pool, size)) = self.cheapest(per_zone, now, unit, |_| true) else { break };
             free.give(&size);
             *per_zone.entry(pool.1.clone()).or_default() += 1;
             *new.entry(pool.clone()).or_insert(0) += 1;
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -84,22 +84,17 @@
                         return a;
                     }
                 }
-                let copy = (!cut && self.peers.any()).then(|| Request {
-                    method: r.method.clone(),
-                    path: r.path.clone(),
-                    body: r.body.clone(),
-                });
-                let answer = self.clone().user(r).await;
-                match copy {
-                    Some(r) if answer.status == 503 && self.store.failing() => self.relay(&r).await.unwrap_or(answer),
-                    _ => answer,
+                let answer = self.user(&r).await;
+                if !cut && answer.status == 503 && self.store.failing() {
+                    return self.relay(&r).await.unwrap_or(answer);
                 }
+                answer
             }
         }
     }
 
     /// Answers a user's request here.
-    pub async fn user(self: Arc<Self>, r: Request) -> Response {
+    pub async fn user(&self, r: &Request) -> Response {
         let rest = r.path.strip_prefix("/v2/runs");
         match (r.method.as_str(), rest) {
             ("POST", Some("")) => return self.submit(&r.body).await,
--- a/src/model.rs
+++ b/src/model.rs
@@ -70,6 +70,10 @@
         self.gpus += s.gpus;
         self.memory += s.memory;
     }
+    /// `n` of it.
+    pub fn times(&self, n: f64) -> Size {
+        Size { cpus: self.cpus * n, gpus: self.gpus * n, memory: self.memory * n }
+    }
     /// How many tasks of size `s` fit, at most `most`.
     pub fn count(&self, s: &Size, most: usize) -> usize {
         let part = |have: f64, need: f64| {
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -173,11 +173,6 @@
     pub fn reachable(&self, fresh: Duration, now: Instant) -> bool {
         lock(&self.seen).values().any(|s| now.duration_since(s.at) < fresh)
     }
-
-    /// Whether there are siblings at all.
-    pub fn any(&self) -> bool {
-        !self.links.is_empty()
-    }
 }
 
 impl Node {
@@ -276,7 +271,7 @@
     ) -> Result<tonic::Response<wire::RelayResponse>, tonic::Status> {
         let r = r.into_inner();
         // answered here or not at all: a relayed request is not relayed again
-        let a = self.0.clone().user(Request { method: r.method, path: r.path, body: r.body }).await;
+        let a = self.0.user(&Request { method: r.method, path: r.path, body: r.body }).await;
         Ok(tonic::Response::new(wire::RelayResponse {
             status: a.status.into(),
             body: a.body,
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -138,8 +138,7 @@
             let limit = self.teams.get(&j.spec.team).copied().unwrap_or_default();
             let team = used.entry(j.spec.team.clone()).or_default();
             let left = f64::from(j.spec.tasks - j.done.len().min(j.spec.tasks));
-            let s = j.spec.size();
-            team.give(&Size { cpus: s.cpus * left, gpus: s.gpus * left, memory: 0.0 });
+            team.give(&j.spec.size().times(left));
             j.guaranteed = within(&limit.guarantee, team);
         }
     }
@@ -448,8 +447,8 @@
     }
 
     /// For tasks that found no room, on machines where the image takes no
-    /// longer than `most_wait`, and of work that saves within `patience`: holds room that stops under way will
-    /// free, or stops work that has to give way.  Returns how many tasks will
+    /// longer than `most_wait`, and of work that saves within `patience`: holds
+    /// room that stops under way will free, or stops work that has to give way.  Returns how many tasks will
     /// have a place.
     #[allow(clippy::too_many_arguments)]
     fn hold_or_preempt(
--- a/src/sim.rs
+++ b/src/sim.rs
@@ -120,6 +120,24 @@
 }
 
 impl Worker {
+    fn new(i: usize, renewed: Ms, next: Ms) -> Worker {
+        Worker {
+            name: format!("i-{i:06}").into(),
+            zone: format!("z{}", i % 3).into(),
+            spot: i % 4 == 3,
+            alive: true,
+            hung_until: 0,
+            sick: false,
+            session: 1,
+            tally: 0,
+            token: 0,
+            renewed,
+            next,
+            flight: None,
+            tasks: BTreeMap::new(),
+        }
+    }
+
     fn report(&mut self) -> Report {
         self.tally += 1;
         let one = |(task, (attempt, work)): (&Task, &(u64, Work))| Reported {
@@ -202,23 +220,7 @@
         let config = Config::parse("sim", SETTINGS).expect("settings of the simulation");
         let limit = TeamLimit { guarantee: Size::default(), most: Size { cpus: 20.0, gpus: 0.0, memory: 0.0 } };
         let mut rng = fastrand::Rng::with_seed(seed);
-        let workers = (0..9)
-            .map(|i| Worker {
-                name: format!("i-{i:06}").into(),
-                zone: format!("z{}", i % 3).into(),
-                spot: i % 4 == 3,
-                alive: true,
-                hung_until: 0,
-                sick: false,
-                session: 1,
-                tally: 0,
-                token: 0,
-                renewed: 0,
-                next: rng.u64(0..3000),
-                flight: None,
-                tasks: BTreeMap::new(),
-            })
-            .collect();
+        let workers = (0..9).map(|i| Worker::new(i, 0, rng.u64(0..3000))).collect();
         World {
             rng,
             t0: Instant::now(),
@@ -569,21 +571,7 @@
     fn rent(&mut self) {
         while self.workers.iter().filter(|w| w.alive).count() < 8 {
             let i = self.workers.len();
-            self.workers.push(Worker {
-                name: format!("i-{i:06}").into(),
-                zone: format!("z{}", i % 3).into(),
-                spot: i % 4 == 3,
-                alive: true,
-                hung_until: 0,
-                sick: false,
-                session: 1,
-                tally: 0,
-                token: 0,
-                renewed: self.now,
-                next: self.now + 1000,
-                flight: None,
-                tasks: BTreeMap::new(),
-            });
+            self.workers.push(Worker::new(i, self.now, self.now + 1000));
         }
     }
 
