A controller cut off with its zone renews the leases there; silence is judged by zone

Ruled out: starting them elsewhere (no proof but deletion, and an image takes 25 s).

A controller that neither the state service nor any sibling answers, and that only workers of its own zone reach, now renews their leases, starts nothing, and stops what it knows to be over. The leader outside never takes silence for a proof, judges mass silence by zone, rents nothing there, and has the cloud delete at once what a withdrawal cannot reach otherwise, also when it only reads of the start on record (found by the seeded world, which now has zone cuts and a thousand machines).

Left: a zone cut, the cloud's interface out for the better part of cancel_s and a withdrawal, all at once.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -471,6 +471,11 @@
         }
         let mut place = Place::new(job.spec.clone(), s.attempt, s.session, now);
         (place.stored, place.former) = (true, true);
+        if job.fate.is_some() {
+            // a stop is due, and if its machine stays silent, a deletion: the
+            // former leader may have had no time for either
+            (place.halt, place.halt_since) = (Some(0.0), Some(now));
+        }
         job.todo.remove(s.task.index);
         let list = job.places.entry(s.task.index).or_default();
         if !list.contains(&s.machine) {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,7 +1,7 @@
 //! The cloud: what to rent and what to return, decided as a plain function of
 //! what is known; the driver carries it out.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
@@ -64,6 +64,8 @@
     pub open: Vec<Rental>,
     /// When the last whole list arrived.
     pub listed: Option<Instant>,
+    /// Zones that seem to be cut off: many of their machines are silent.
+    pub cut: HashSet<Name>,
 }
 
 /// Most names in one deletion.
@@ -240,7 +242,11 @@
             let Some(unit) = unit(t) else { continue };
             for (zone, spot) in t.zones.iter().flat_map(|z| [(z, true), (z, false)]) {
                 let pool = (t.name.clone(), zone.clone(), spot);
-                if self.fleet.resting.get(&pool).is_some_and(|r| *r > now) || !allowed(&pool) {
+                // what boots in a zone that is cut off is of no use
+                if self.fleet.resting.get(&pool).is_some_and(|r| *r > now)
+                    || self.fleet.cut.contains(zone)
+                    || !allowed(&pool)
+                {
                     continue;
                 }
                 let cost = if spot { t.spot_price } else { t.price } / unit;
@@ -254,8 +260,8 @@
     }
 
     /// Idle machines without which an urgent class would lack room.
-    fn needed_idle(&self, now: Instant) -> std::collections::HashSet<Name> {
-        let mut needed = std::collections::HashSet::new();
+    fn needed_idle(&self, now: Instant) -> HashSet<Name> {
+        let mut needed = HashSet::new();
         for spec in self.urgent() {
             let mut room = self.all_ready_room(&spec, now);
             for m in self.machines.values().filter(|m| m.tasks.is_empty()) {
@@ -286,10 +292,20 @@
         let up = |m: &&Machine| {
             m.gone.is_none() && (m.heard.is_some() || m.stage == Some(Stage::Running) || !m.tasks.is_empty())
         };
-        let total = self.machines.values().filter(up).count();
-        let silent = self.machines.values().filter(up).filter(|m| quiet(m) > policy.silent).count();
-        // many at once: that is the network, and they may well be working
-        let mass = silent > 2 && silent as f64 > total as f64 * policy.silent_share;
+        // many of a zone, or of all, at once: that is the network, and they may
+        // well be working
+        let mut counts: HashMap<Option<Name>, (usize, usize)> = HashMap::new();
+        for m in self.machines.values().filter(up) {
+            let silent = usize::from(quiet(m) > policy.fresh);
+            for whole in [None, Some(m.zone.clone())] {
+                let c = counts.entry(whole).or_default();
+                (c.0, c.1) = (c.0 + silent, c.1 + 1);
+            }
+        }
+        let mass = |silent: usize, of: usize| silent > 2 && silent as f64 > of as f64 * policy.silent_share;
+        let everywhere = counts.get(&None).is_some_and(|c| mass(c.0, c.1));
+        self.fleet.cut = counts.into_iter().filter(|(_, c)| mass(c.0, c.1)).filter_map(|(z, _)| z).collect();
+        let cut = self.fleet.cut.clone();
         let listed = self.fleet.listed;
         let needed = self.needed_idle(now);
         let mut moves: Vec<(Name, Task)> = Vec::new();
@@ -311,7 +327,7 @@
                 Some("is silent and not listed")
             } else if m.heard.is_none() && m.stage != Some(Stage::Running) && m.tasks.is_empty() {
                 (now.duration_since(m.rented) > boot_limit).then_some("does not come up")
-            } else if silence > policy.silent && !mass {
+            } else if silence > policy.silent && !everywhere && !cut.contains(&m.zone) {
                 Some("is silent")
             } else if m.drain.is_some() && m.tasks.is_empty() {
                 m.drain
@@ -329,7 +345,8 @@
             } else if m.tasks.values().any(|p| {
                 // stops of a cancelled job are pursued to the end
                 let over = self.jobs.get(&p.spec.id).is_none_or(|j| j.fate == Some(Fate::Cancelled));
-                let late = policy.cancel.mul_f64(0.45);
+                // at once where no stop arrives
+                let late = if silence > policy.fresh { Duration::ZERO } else { policy.cancel.mul_f64(0.45) };
                 over && p.present() && p.halt_since.is_some_and(|t| now.duration_since(t) > late)
             }) {
                 Some("keeps tasks of a cancelled job")
@@ -498,3 +515,62 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::commit::{Page, Start};
+    use crate::sim::{cluster, spec};
+
+    fn on_record(c: &mut Cluster, machines: usize, zone: &str, job: &str, now: Instant) {
+        let mut page = Page::default();
+        let mut places = HashMap::new();
+        for i in 0..machines {
+            let machine: Name = format!("i-{zone}{i:04}").into();
+            places.insert(machine.clone(), ("t".into(), zone.into(), false));
+            page.starts.push(Start {
+                machine,
+                task: Task { job: job.into(), index: i as u32 },
+                attempt: 1,
+                session: 1,
+            });
+        }
+        c.add_page(c.pages.len() as u32, page, &places, now);
+    }
+
+    /// A zone that goes silent as a whole is cut off, not dead: its machines
+    /// stay, whatever share of the fleet they are.
+    #[test]
+    fn a_silent_zone_is_not_cleared_away() {
+        let t0 = Instant::now();
+        let mut c = cluster(2, t0);
+        c.add_job(spec("j-000001", 1000), 1, None, t0);
+        c.add_job(spec("j-000002", 1000), 2, None, t0);
+        on_record(&mut c, 30, "z0", "j-000001", t0);
+        on_record(&mut c, 70, "z1", "j-000002", t0);
+        let later = t0 + c.policy.silent * 2;
+        for m in c.machines.values_mut().filter(|m| *m.zone == *"z1") {
+            m.heard = Some(later);
+        }
+        assert!(c.plan(&[], later).delete.is_empty());
+        assert!(c.fleet.cut.contains("z0"));
+        // a few of them are another matter
+        for m in c.machines.values_mut().skip(5) {
+            m.heard = Some(later);
+        }
+        assert_eq!(c.plan(&[], later).delete.len(), 5);
+    }
+
+    /// A task of a withdrawn job on a machine that no stop reaches: the cloud
+    /// has to take the machine, and in time, also under a new leader that only
+    /// reads of the start.  Else a controller in a cut zone might keep it.
+    #[test]
+    fn what_a_withdrawal_cannot_reach_is_deleted() {
+        let t0 = Instant::now();
+        let mut c = cluster(2, t0);
+        c.add_job(spec("j-000001", 1000), 1, Some(Fate::Cancelled), t0);
+        on_record(&mut c, 30, "z0", "j-000001", t0);
+        let later = t0 + c.policy.fresh + Duration::from_secs(1);
+        assert_eq!(c.plan(&[], later).delete.len(), 30);
+    }
+}
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -15,7 +15,7 @@
 use crate::model::*;
 use crate::node::{timed, Node};
 use crate::store::{key, read_value, Error, Outcome, Txn, Write};
-use crate::workers::Report;
+use crate::workers::{Answer, Command, Report, Reported, TaskState};
 
 /// A job's state as users see it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -171,6 +171,9 @@
     fn take_in(&self, report: &Report) -> Result<bool, Response> {
         let mut i = self.lock();
         let now = Instant::now();
+        if *report.zone != *self.config.zone {
+            i.foreign = Some(now);
+        }
         if i.authority.is_none_or(|a| now >= a.until) {
             // an outage of the state service, by the siblings' word: nobody
             // can lead, and our lease outlives it.  The workers' leases are
@@ -180,8 +183,11 @@
             let outage = i.authority.is_some_and(|a| self.store.failing() && self.peers.outage(a.term, fresh, now));
             if let Some(c) = i.cluster.as_mut().filter(|_| outage) {
                 if c.report(report, true, now).is_some() {
-                    return Err(Response::new(200, &c.keep_alive(&report.machine)));
+                    let token = c.token_for(&report.machine);
+                    return Err(Response::new(200, &self.keep_alive(&i, report, token)));
                 }
+            } else if self.alone(&i, report, now) {
+                return Err(Response::new(200, &self.keep_alive(&i, report, report.token)));
             }
             return Err(match &i.leader {
                 Some(l) if l.record.name != self.config.name => {
@@ -218,6 +224,34 @@
         Ok(pending)
     }
 
+    /// Whether this controller seems to be cut off together with its zone:
+    /// neither the state service nor any sibling answers, not even with a
+    /// refusal, and only workers of its own zone come here.  Then the zone's
+    /// workers reach nobody else, and their tasks go on if their leases are
+    /// renewed.  As silence is never taken for a proof, the leader outside
+    /// starts none of them again; and what it has to stop for a withdrawal, it
+    /// has the cloud delete.
+    fn alone(&self, i: &crate::node::Inner, report: &Report, now: Instant) -> bool {
+        let p = &self.policy;
+        let cut = now.duration_since(self.store.last_served());
+        *report.zone == *self.config.zone
+            && !self.config.siblings.is_empty()
+            && self.store.silent()
+            && (p.cut_after..p.cut_keep).contains(&cut)
+            && !self.peers.reachable(p.peer_limit * 3, now)
+            && i.foreign.is_none_or(|t| now.duration_since(t) > p.cut_after)
+    }
+
+    /// An answer that renews the worker's lease, starts nothing, and stops
+    /// what belongs to jobs that are known to be over: that is right at any
+    /// time and by whomever.
+    fn keep_alive(&self, i: &crate::node::Inner, report: &Report, token: u64) -> Answer {
+        let over =
+            |t: &&Reported| t.state != TaskState::Ended && i.jobs.get(&t.task.job).is_some_and(|k| k.fate.is_some());
+        let halt = |t: &Reported| Command::Halt { task: t.task.clone(), attempt: t.attempt, grace: 0.0 };
+        Answer { token, orders: report.tasks.iter().filter(over).map(halt).collect() }
+    }
+
     /// Why a job can never run, if it cannot.
     fn never(&self, spec: &Spec) -> Option<&'static str> {
         let Some(team) = self.config.deployment.teams.iter().find(|t| *t.name == *spec.team) else {
--- a/src/node.rs
+++ b/src/node.rs
@@ -58,6 +58,8 @@
     pub types: Vec<MachineType>,
     /// What found no place in the last pass.
     pub wants: Vec<Want>,
+    /// When a worker of another zone last reported here.
+    pub foreign: Option<Instant>,
     /// No pass over the queue before this.
     pub next_pass: Option<Instant>,
 }
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -194,6 +194,10 @@
     pub async fn follow(&self) {
         loop {
             let trouble = self.store.failing();
+            if self.store.silent() {
+                // the end of a cut has to be noticed soon
+                let _ = self.store.get(crate::store::key::LEADER).await;
+            }
             let leader = self.lock().leader.as_ref().map(|l| l.record.name.clone());
             let asked = self.peers.links.iter().filter(|l| trouble || leader.as_deref() == Some(&l.name));
             futures_util::future::join_all(asked.map(|l| self.ask(l, leader.as_deref() == Some(&l.name)))).await;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -160,6 +160,11 @@
     task_spacing_s: f64 as Seconds, 0.0 ..= 3600.0;
     /// Work within a guarantee should start within this.
     guarantee_wait_s: f64 as Seconds, 0.0 ..= 3600.0;
+    /// A controller that has reached nobody for so long takes itself for cut
+    /// off with its zone, and renews the leases of the zone's workers …
+    cut_after: Duration as Duration, 0.1 ..= 3600.0;
+    /// … but not after so long.
+    cut_keep: Duration as Duration, 0.0 ..= 86400.0;
     /// How long a sibling may take to answer.
     peer_limit: Duration as Duration, 0.05 ..= 60.0;
     /// How long a direct command may take.
@@ -178,6 +183,7 @@
     ("fresh < silent", "a machine is avoided before it is given up"),
     ("silent < workers.lease_s", "tasks of a silent machine are replaced before they kill themselves"),
     ("deaf > workers.report_s", "one report interval of quiet is ordinary"),
+    ("cut_after < workers.lease_s / 2", "a zone's leases must not run out before they are renewed"),
     ("commit_wait < workers.report_s", "an answer must not outlast the report interval"),
     ("cancel <= workers.cancel_s", "the rules say when cancelled tasks are gone"),
 ];
--- a/src/sim.rs
+++ b/src/sim.rs
@@ -46,6 +46,56 @@
 fd_limit = 1000
 "#;
 
+/// A new leader's state, for tests of single slices.
+pub fn cluster(term: u64, now: Instant) -> Cluster {
+    let config = Config::parse("sim", SETTINGS).expect("settings of the simulation");
+    let policy = Arc::new(Policy::new(&config).expect("the default policy"));
+    let mut c = Cluster::new(term, policy, HashMap::new(), now);
+    c.set_types(&[machine_type("t")]);
+    c
+}
+
+/// An array of tasks of one core.
+pub fn spec(id: &str, tasks: u32) -> Arc<Spec> {
+    Arc::new(Spec {
+        id: id.into(),
+        class: "c".into(),
+        team: "x".into(),
+        shape: Shape::Array,
+        rank: Rank::Normal,
+        tasks,
+        cpus: 1.0,
+        gpus: 0.0,
+        memory: 1.0,
+        image: "img-0".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        estimate_s: 10.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    })
+}
+
+fn machine_type(name: &str) -> MachineType {
+    MachineType {
+        name: name.into(),
+        cpus: 8.0,
+        gpus: 0.0,
+        memory: 64.0,
+        cache_gb: 10.0,
+        fetch_gb_per_s: 1.0,
+        price: 1.0,
+        spot_price: 0.5,
+        boot_s: 10.0,
+        zones: vec![],
+    }
+}
+
 /// Milliseconds of simulated time.
 type Ms = u64;
 const STEP: Ms = 100;
@@ -202,6 +252,9 @@
     down_until: Vec<Ms>,
     no_renewal: Vec<Ms>,
     outage: Ms,
+    /// Until when each zone is cut off.  A controller inside renews the
+    /// leases of its workers.
+    cut: [Ms; 3],
     jobs: BTreeMap<Name, (Arc<Spec>, u64)>,
     cancelled: HashMap<Name, Ms>,
     finished: HashMap<Task, Ms>,
@@ -210,17 +263,27 @@
     lives: u64,
     term: u64,
     sabotage: Sabotage,
+    /// Machines that are kept up, and cores that a team may use.
+    scale: usize,
+    quota: f64,
+    /// Steps between two troubles, on average.
+    quiet: u32,
+    limits: TxnLimits,
     broken: Vec<String>,
 }
 
-const LIMITS: TxnLimits = TxnLimits { writes: 8, guards: 32, page_bytes: 4096 };
-
 impl World {
+    /// A small world: collisions are frequent.
     fn new(seed: u64, sabotage: Sabotage) -> World {
+        World::of(9, seed, sabotage)
+    }
+
+    fn of(scale: usize, seed: u64, sabotage: Sabotage) -> World {
         let config = Config::parse("sim", SETTINGS).expect("settings of the simulation");
-        let limit = TeamLimit { guarantee: Size::default(), most: Size { cpus: 20.0, gpus: 0.0, memory: 0.0 } };
+        let quota = 20.0 * (scale as f64 / 9.0).round();
+        let limit = TeamLimit { guarantee: Size::default(), most: Size { cpus: quota, gpus: 0.0, memory: 0.0 } };
         let mut rng = fastrand::Rng::with_seed(seed);
-        let workers = (0..9).map(|i| Worker::new(i, 0, rng.u64(0..3000))).collect();
+        let workers = (0..scale).map(|i| Worker::new(i, 0, rng.u64(0..3000))).collect();
         World {
             rng,
             t0: Instant::now(),
@@ -233,6 +296,7 @@
             down_until: vec![0; 3],
             no_renewal: vec![0; 3],
             outage: 0,
+            cut: [0; 3],
             jobs: BTreeMap::new(),
             cancelled: HashMap::new(),
             finished: HashMap::new(),
@@ -241,6 +305,14 @@
             lives: 0,
             term: 0,
             sabotage,
+            scale,
+            quota,
+            quiet: if scale > 100 { 30 } else { 100 },
+            limits: TxnLimits {
+                writes: 8.max(scale / 40),
+                guards: 32.max(scale / 10),
+                page_bytes: 4096.max(scale * 15),
+            },
             broken: Vec::new(),
         }
     }
@@ -265,26 +337,16 @@
         let shape = [Shape::Array, Shape::Gang, Shape::Service][self.rng.usize(0..3)];
         let one_zone = self.rng.u32(0..4) == 0;
         let spec = Arc::new(Spec {
-            id: format!("j-{n:06}").into(),
-            class: "c".into(),
             team: if self.rng.bool() { "x" } else { "y" }.into(),
             shape,
             rank: [Rank::Production, Rank::High, Rank::Normal, Rank::Low][self.rng.usize(0..4)],
-            tasks: self.rng.u32(1..6),
             cpus: f64::from(self.rng.u32(1..4)),
-            gpus: 0.0,
-            memory: 1.0,
             image: format!("img-{}", self.rng.u32(0..3)).into(),
-            image_gb: 1.0,
-            types: None,
             zone: (self.rng.u32(0..6) == 0).then(|| "z1".into()),
             one_zone,
             spread: !one_zone && self.rng.u32(0..3) == 0,
             spot: self.rng.bool(),
-            estimate_s: 10.0,
-            checkpoint_s: 0.0,
-            save_s: 0.0,
-            deadline_s: None,
+            ..(*spec(&format!("j-{n:06}"), self.rng.u32(1..6))).clone()
         });
         let mut spec = spec;
         if spec.spread && spec.zone.is_some() {
@@ -340,19 +402,7 @@
         let stamp = self.store.apply(&txn).expect("unguarded");
         let at = self.at(self.now);
         let mut c = Cluster::new(self.term, self.policy.clone(), self.teams.clone(), at);
-        let t = |name: &str| MachineType {
-            name: name.into(),
-            cpus: 8.0,
-            gpus: 0.0,
-            memory: 64.0,
-            cache_gb: 10.0,
-            fetch_gb_per_s: 1.0,
-            price: 1.0,
-            spot_price: 0.5,
-            boot_s: 10.0,
-            zones: vec![],
-        };
-        c.set_types(&[t("t")]);
+        c.set_types(&[machine_type("t")]);
         for (spec, stamp) in self.jobs.values() {
             c.add_job(spec.clone(), *stamp, self.store.fate(&spec.id), at);
         }
@@ -427,7 +477,7 @@
                 }
             }
             if !c.flying {
-                if let Some(batch) = c.cluster.next_batch(c.stamp, &LIMITS) {
+                if let Some(batch) = c.cluster.next_batch(c.stamp, &self.limits) {
                     c.flying = true;
                     self.send(Message::Txn { from: i, life: c.life, batch });
                 }
@@ -472,10 +522,11 @@
             }
             Message::Direct { from, life, call } => {
                 let Some(i) = self.workers.iter().position(|w| w.name == call.machine) else { return };
-                if self.workers[i].alive && self.now < self.workers[i].hung_until {
-                    // a hanging machine carries it out when it goes on
+                let held = self.workers[i].hung_until.max(self.cut[i % 3]);
+                if self.workers[i].alive && self.now < held {
+                    // carried out when the machine goes on, or its zone is back
                     self.serial += 1;
-                    let at = self.workers[i].hung_until + STEP;
+                    let at = held + STEP;
                     self.mail.insert((at, self.serial), Message::Direct { from, life, call });
                     return;
                 }
@@ -562,7 +613,7 @@
 
     /// The fleet is kept up; new machines appear through their reports.
     fn rent(&mut self) {
-        while self.workers.iter().filter(|w| w.alive).count() < 8 {
+        while self.workers.iter().filter(|w| w.alive).count() < self.scale - 1 {
             let i = self.workers.len();
             self.workers.push(Worker::new(i, self.now, self.now + 1000));
         }
@@ -606,6 +657,11 @@
             if !self.workers[i].alive || self.now < self.workers[i].hung_until {
                 continue;
             }
+            let cut = self.now < self.cut[i % 3];
+            if cut {
+                let w = &mut self.workers[i];
+                (w.renewed, w.flight) = (self.now, None);
+            }
             let lease = 30_000;
             if self.now.saturating_sub(self.workers[i].renewed) > lease {
                 let w = &mut self.workers[i];
@@ -671,7 +727,7 @@
             if given_up {
                 self.workers[i].flight = None;
             }
-            if self.workers[i].flight.is_none() && self.workers[i].next <= self.now {
+            if self.workers[i].flight.is_none() && self.workers[i].next <= self.now && !cut {
                 let to = self.controllers.iter().position(|c| c.as_ref().is_some_and(|c| self.now < c.until));
                 let w = &mut self.workers[i];
                 w.next = self.now + 3000;
@@ -719,7 +775,7 @@
                 let _ = work;
             }
         }
-        if used > 20.0 + 1e-6 {
+        if used > self.quota + 1e-6 {
             broken.push(format!("quota: {} uses {used}", spec.team));
         }
         let w = &self.workers[i];
@@ -736,7 +792,10 @@
     }
 
     fn always(&mut self) {
-        for w in self.workers.iter().filter(|w| w.alive) {
+        // a machine that hangs beyond its lease executes nothing any more; that
+        // its tasks stay listed here is to catch those who start them again
+        let lost = |w: &&Worker| self.now < w.hung_until && self.now.saturating_sub(w.renewed) > 30_000;
+        for w in self.workers.iter().filter(|w| w.alive && !lost(w)) {
             for (t, (_, work)) in &w.tasks {
                 let on = !matches!(work, Work::Pulling { .. } | Work::Ended(_));
                 if on && self.cancelled.get(&t.job).is_some_and(|c| self.now - c > 60_000) {
@@ -756,7 +815,7 @@
 
     fn trouble(&mut self) {
         let t = self.now;
-        match self.rng.u32(0..9) {
+        match self.rng.u32(0..10) {
             0 => {
                 let i = self.rng.usize(0..3);
                 self.controllers[i] = None;
@@ -771,20 +830,24 @@
                 let i = self.rng.usize(0..3);
                 self.no_renewal[i] = t + self.rng.u64(20..200) * STEP;
             }
-            5 => {
-                let i = self.rng.usize(0..self.workers.len());
-                self.workers[i].alive = false;
-                self.workers[i].tasks.clear();
+            9 => self.cut[self.rng.usize(0..3)] = t + self.rng.u64(100..700) * STEP,
+            // dozens at once in a large world
+            kind => {
+                for _ in 0..self.scale.div_ceil(30) {
+                    let i = self.rng.usize(0..self.workers.len());
+                    let hang = t + self.rng.u64(10..400) * STEP;
+                    let w = &mut self.workers[i];
+                    match kind {
+                        5 => {
+                            w.alive = false;
+                            w.tasks.clear();
+                        }
+                        6 | 7 => w.hung_until = hang,
+                        _ => w.sick = !w.sick,
+                    }
+                }
                 self.rent();
             }
-            6 | 7 => {
-                let i = self.rng.usize(0..self.workers.len());
-                self.workers[i].hung_until = t + self.rng.u64(10..400) * STEP;
-            }
-            _ => {
-                let i = self.rng.usize(0..self.workers.len());
-                self.workers[i].sick = !self.workers[i].sick;
-            }
         }
     }
 
@@ -840,13 +903,15 @@
                 self.deliver(m);
             }
             let calm = self.now >= calm_from;
-            if !calm && self.rng.u32(0..40) == 0 {
-                self.submit();
-            }
-            if !calm && self.rng.u32(0..120) == 0 {
-                self.cancel();
+            for _ in 0..self.scale.div_ceil(9) {
+                if !calm && self.rng.u32(0..40) == 0 {
+                    self.submit();
+                }
+                if !calm && self.rng.u32(0..120) == 0 {
+                    self.cancel();
+                }
             }
-            if !calm && self.rng.u32(0..100) == 0 {
+            if !calm && self.rng.u32(0..self.quiet) == 0 {
                 self.trouble();
             }
             if self.now == calm_from {
@@ -895,4 +960,21 @@
         let seen = (0..40).any(|seed| !World::new(seed, s).run(240_000, 180_000).broken.is_empty());
         assert!(seen, "{s:?} went unnoticed");
     }
+    let large = World::of(1000, 0, Sabotage::SilenceIsProof).run(90_000, 70_000);
+    assert!(!large.broken.is_empty(), "a thousand machines hide what nine show");
+}
+
+/// The same with a thousand machines, of which dozens fail at once: pages
+/// fill, are taken in turn and read by one leader after another.
+#[test]
+fn the_rules_hold_in_a_large_world() {
+    let (mut terms, mut done, mut pages) = (0, 0, 0);
+    for seed in 0..2 {
+        let w = World::of(1000, seed, Sabotage::None).run(90_000, 70_000);
+        assert!(w.broken.is_empty(), "seed {seed} at {} ms: {:?}", w.now, w.broken);
+        terms += w.term;
+        done += w.jobs.keys().filter(|id| w.store.fate(id) == Some(Fate::Done)).count();
+        pages += w.store.kv.keys().filter(|k| k.starts_with(key::PAGE)).count();
+    }
+    assert!(terms > 4 && done > 150 && pages > 20, "too little to check: {terms} terms, {done} done, {pages} pages");
 }
--- a/src/store.rs
+++ b/src/store.rs
@@ -263,6 +263,7 @@
     pub most: TxnLimits,
     last_served: Mutex<Instant>,
     failing: AtomicBool,
+    silent: AtomicBool,
 }
 
 /// A transaction has 64 KiB in all, with conditions and ends beside the page.
@@ -290,6 +291,7 @@
             },
             last_served: Mutex::new(now),
             failing: AtomicBool::new(false),
+            silent: AtomicBool::new(false),
         }
     }
 
@@ -309,6 +311,11 @@
         self.failing.load(Ordering::Relaxed)
     }
 
+    /// Whether the last request got no answer at all, not even a refusal.
+    pub fn silent(&self) -> bool {
+        self.silent.load(Ordering::Relaxed)
+    }
+
     /// When the state service last carried out something for us.
     pub fn last_served(&self) -> Instant {
         *self.last_served.lock().unwrap_or_else(|e| e.into_inner())
@@ -324,6 +331,7 @@
         let sent = self.http.send(self.addr, method, target, body, limit).await;
         // 429 is a matter of pace: the service is there
         self.failing.store(!matches!(sent, Ok((..500, _))), Ordering::Relaxed);
+        self.silent.store(sent.is_err(), Ordering::Relaxed);
         let (status, body) = sent?;
         match status {
             429 | 500.. => Err(Error::Refused(status)),
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -336,10 +336,9 @@
         Answer { token, orders }
     }
 
-    /// An answer that only renews the worker's lease.
-    pub fn keep_alive(&self, machine: &Name) -> Answer {
-        let fence = self.machines.get(machine).map_or(0, |m| m.fence);
-        Answer { token: self.token() + fence, orders: Vec::new() }
+    /// The token that answers to a machine carry.
+    pub fn token_for(&self, machine: &Name) -> u64 {
+        self.token() + self.machines.get(machine).map_or(0, |m| m.fence)
     }
 
     /// Commands that should not wait for the next report: stored starts and
