Machines that a list lacks go at once; services packed by what lasts; status and client commands

A machine that was listed for long and that the newest list lacks is deleted after 1.5 report intervals of silence (the deletion is the proof). A new leader waits 1.2 times the lag. Services are packed by the room that lasts; a short fetch is no reason for an ordinary machine; an empty machine stays three times what one of its images takes to arrive.

Also: GET /v2/status and coralnotch status, submit, show, withdraw; counters and HDR histograms; missing_docs is an error.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -42,9 +42,49 @@
         #[arg(long)]
         policy: Option<PathBuf>,
     },
+    /// Submit a job to a running controller.
+    Submit {
+        /// The job as JSON, in the form of the protocol; - for standard input.
+        file: String,
+        #[command(flatten)]
+        to: To,
+    },
+    /// Show how a job stands.
+    Show {
+        /// The job's id.
+        id: String,
+        #[command(flatten)]
+        to: To,
+    },
+    /// Withdraw a job: its tasks are stopped.
+    Withdraw {
+        /// The job's id.
+        id: String,
+        #[command(flatten)]
+        to: To,
+    },
+    /// Show how a controller stands: who leads, what waits and why.
+    Status {
+        #[command(flatten)]
+        to: To,
+    },
 }
 
-/// Exit code for settings that can't be used.
+/// Which controller, and how to print its answer.
+#[derive(clap::Args)]
+struct To {
+    /// Where the controller listens for users: its `bind`.
+    #[arg(long, value_name = "IP:PORT")]
+    node: std::net::SocketAddr,
+    /// For how many seconds to try again when it refuses for now.
+    #[arg(long, default_value_t = 60)]
+    patience: u64,
+    /// Print JSON, for programs.
+    #[arg(long)]
+    json: bool,
+}
+
+/// Exit code for settings and other input that can't be used.
 const BAD_SETTINGS: u8 = 2;
 
 /// Runs the command line.
@@ -58,6 +98,7 @@
     let (config, policy, run) = match &args.command {
         Command::Serve { config, policy } => (config, policy, true),
         Command::Check { config, policy } => (config, policy, false),
+        other => return ask(other),
     };
     let (settings, checked) = match load(config, policy.as_deref()) {
         Ok(l) => l,
@@ -82,6 +123,34 @@
     }
 }
 
+/// Runs a command against a running controller.
+fn ask(command: &Command) -> ExitCode {
+    use crate::client::{job_text, print, read_job, status_text, Controller, Error};
+    let at = |to: &To| Controller::new(to.node, Duration::from_secs(to.patience));
+    let done = smol::block_on(async {
+        Ok(match command {
+            Command::Submit { file, to } => print(&at(to).submit(&read_job(file)?).await?, to.json, job_text),
+            Command::Show { id, to } => print(&at(to).show(id).await?, to.json, job_text),
+            Command::Withdraw { id, to } => print(&at(to).withdraw(id).await?, to.json, job_text),
+            Command::Status { to } => print(&at(to).status().await?, to.json, status_text),
+            Command::Serve { .. } | Command::Check { .. } => String::new(),
+        })
+    });
+    match done {
+        Ok(text) => {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("coralnotch: {e}");
+            match e {
+                Error::Input(_) => ExitCode::from(BAD_SETTINGS),
+                Error::Refused { .. } | Error::GaveUp { .. } => ExitCode::FAILURE,
+            }
+        }
+    }
+}
+
 /// Reads settings and policy; the error is all that is wrong with them.
 fn load(config: &Path, policy: Option<&Path>) -> Result<(Config, Checked), String> {
     let config = Config::load(config).map_err(|e| format!("coralnotch: {e}"))?;
--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -7,7 +7,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
@@ -360,6 +360,8 @@
     pub next_page: u32,
     /// Machines that there may be something to tell.
     pub tell: BTreeSet<Name>,
+    /// How long the tasks placed in the last pass had waited.
+    pub placed_after: Vec<Duration>,
 }
 
 /// Guarantee and limit of a team.
@@ -404,6 +406,7 @@
             pages: BTreeMap::new(),
             next_page: 0,
             tell: BTreeSet::new(),
+            placed_after: Vec::new(),
         }
     }
 
@@ -500,6 +503,7 @@
         m.tasks.insert(task.clone(), Place::new(job.spec.clone(), attempt, m.session, now));
         m.idle = None;
         let session = m.session;
+        self.placed_after.push(now.duration_since(job.known));
         self.record(task, machine, attempt, session);
         true
     }
--- a/src/config.rs
+++ b/src/config.rs
@@ -238,9 +238,4 @@
         }
         Ok(())
     }
-
-    /// Whether the operators count the price.
-    pub fn counts_price(&self) -> bool {
-        self.deployment.objectives.iter().any(|o| o.kind == "price")
-    }
 }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -311,11 +311,21 @@
         let mut moves: Vec<(Name, Task)> = Vec::new();
         for m in self.machines.values_mut().filter(|m| m.gone.is_none()) {
             let silence = now.duration_since(m.heard.unwrap_or(began.max(m.known)));
-            // it was listed, and newer lists lack it: probably gone
-            let unlisted = m.listed.zip(listed).is_some_and(|(m, l)| l.duration_since(m) > policy.list_lag * 2)
-                || m.listed.is_none() && now.duration_since(m.known) > policy.list_lag * 4 && listed.is_some();
+            // it was listed for long, and the newest list lacks it: a list that
+            // is older than others would still have it, so it is gone.  No
+            // proof, but reason enough to ask for one, a deletion
+            let old = now.duration_since(m.rented.min(m.known)) > policy.list_lag * 4;
+            let unlisted =
+                m.listed.zip(listed).is_some_and(|(m, l)| l > m && (old || l.duration_since(m) > policy.list_lag * 2))
+                    || m.listed.is_none() && now.duration_since(m.known) > policy.list_lag * 4 && listed.is_some();
             let boot_s = self.types.get(&m.kind).map_or(60.0, |t| t.boot_s);
             let boot_limit = Duration::from_secs_f64(boot_s * policy.boot_factor);
+            // an empty machine is worth the image that the next task need not
+            // wait for
+            let rate = self.types.get(&m.kind).map_or(0.0, |t| t.fetch_gb_per_s);
+            let image = m.images.iter().map(|i| i.1).sum::<f64>() / m.images.len().max(1) as f64;
+            let held = image / rate.max(1e-3) * policy.idle_images;
+            let idle = policy.idle.max(Duration::from_secs_f64(held.min(policy.idle_most)));
             let reason = if m.deleting.is_some() {
                 // a deletion may be carried out at any time now
                 Some("is being returned")
@@ -323,7 +333,7 @@
                 Some("has failed")
             } else if m.notice.is_some_and(|t| t <= now) && silence > policy.fresh / 2 {
                 Some("was taken back")
-            } else if unlisted && silence > policy.fresh {
+            } else if unlisted && silence > policy.missed {
                 Some("is silent and not listed")
             } else if m.heard.is_none() && m.stage != Some(Stage::Running) && m.tasks.is_empty() {
                 (now.duration_since(m.rented) > boot_limit).then_some("does not come up")
@@ -331,10 +341,10 @@
                 Some("is silent")
             } else if m.drain.is_some() && m.tasks.is_empty() {
                 m.drain
-            } else if m.idle.is_some_and(|t| now.duration_since(t) > policy.idle)
+            } else if m.idle.is_some_and(|t| now.duration_since(t) > idle)
                 && m.tasks.is_empty()
                 && m.heard.is_some()
-                && now.duration_since(m.rented) > policy.idle
+                && now.duration_since(m.rented) > idle
                 && spare.holds(&bare(&m.size))
                 && !needed.contains(&m.name)
                 && bare(&free).holds(&bare(&m.size))
@@ -346,7 +356,7 @@
                 // stops of a cancelled job are pursued to the end
                 let over = self.jobs.get(&p.spec.id).is_none_or(|j| j.fate == Some(Fate::Cancelled));
                 // at once where no stop arrives
-                let late = if silence > policy.fresh { Duration::ZERO } else { policy.cancel.mul_f64(0.45) };
+                let late = if silence > policy.missed { Duration::ZERO } else { policy.cancel.mul_f64(0.45) };
                 over && p.present() && p.halt_since.is_some_and(|t| now.duration_since(t) > late)
             }) {
                 Some("keeps tasks of a cancelled job")
@@ -384,7 +394,7 @@
         // machines on their way count before new ones are asked for; a new
         // leader first has to learn what its forerunner rented
         let Some(_) = self.fleet.listed else { return };
-        if self.term > 1 && now.duration_since(self.began) < policy.list_lag * 2 {
+        if self.term > 1 && now.duration_since(self.began) < policy.list_settles {
             return;
         }
         plan.rent.extend(self.fleet.open.iter().cloned());
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -15,6 +15,7 @@
 use crate::model::*;
 use crate::node::{timed, Node};
 use crate::store::{key, read_value, Error, Outcome, Txn, Write};
+use crate::telemetry::{count, Timed};
 use crate::workers::{Answer, Command, Report, Reported, TaskState};
 
 /// A job's state as users see it.
@@ -74,30 +75,46 @@
         match (r.method.as_str(), r.path.as_str()) {
             ("GET", "/healthz") => self.health(),
             ("POST", "/hello") => self.hello(&r.body).await,
-            (_, "/healthz" | "/hello") => Response::refuse(405, "wrong method"),
+            ("GET", "/v2/status") => Response::new(200, &self.status(Instant::now())),
+            (_, "/healthz" | "/hello" | "/v2/status") => Response::refuse(405, "wrong method"),
             _ => {
-                // refused or cut off from the state service: a sibling may
-                // not be
-                let cut = self.store.failing();
-                if cut {
-                    if let Some(a) = self.relay(&r).await {
-                        return a;
-                    }
-                }
-                let answer = self.user(&r).await;
-                if !cut && answer.status == 503 && self.store.failing() {
-                    return self.relay(&r).await.unwrap_or(answer);
+                let c = &self.telemetry.counters;
+                count(&c.requests);
+                let a = self.users(&r).await;
+                if a.status == 503 {
+                    count(&c.refused);
                 }
-                answer
+                a
+            }
+        }
+    }
+
+    /// Answers a user's request, here or by a sibling.
+    async fn users(&self, r: &Request) -> Response {
+        // refused or cut off from the state service: a sibling may not be
+        let cut = self.store.failing();
+        if cut {
+            if let Some(a) = self.relay(r).await {
+                return a;
             }
         }
+        let answer = self.user(r).await;
+        if !cut && answer.status == 503 && self.store.failing() {
+            return self.relay(r).await.unwrap_or(answer);
+        }
+        answer
     }
 
     /// Answers a user's request here.
     pub async fn user(&self, r: &Request) -> Response {
         let rest = r.path.strip_prefix("/v2/runs");
+        let began = Instant::now();
         match (r.method.as_str(), rest) {
-            ("POST", Some("")) => return self.submit(&r.body).await,
+            ("POST", Some("")) => {
+                let a = self.submit(&r.body).await;
+                self.telemetry.took(Timed::Submission, began.elapsed());
+                return a;
+            }
             (_, Some("")) => return Response::refuse(405, "wrong method"),
             _ => {}
         }
@@ -109,11 +126,13 @@
         if id.is_empty() || id.contains('/') {
             return Response::refuse(404, "no such path");
         }
-        match (r.method.as_str(), withdraw) {
-            ("POST", true) => self.withdraw(id).await,
-            ("GET", false) => self.query(id).await,
-            _ => Response::refuse(405, "wrong method"),
-        }
+        let (answer, what) = match (r.method.as_str(), withdraw) {
+            ("POST", true) => (self.withdraw(id).await, Timed::Withdrawal),
+            ("GET", false) => (self.query(id).await, Timed::Query),
+            _ => return Response::refuse(405, "wrong method"),
+        };
+        self.telemetry.took(what, began.elapsed());
+        answer
     }
 
     fn health(&self) -> Response {
@@ -137,6 +156,7 @@
             Ok(r) => r,
             Err(e) => return Response::refuse(400, &e.to_string()),
         };
+        count(&self.telemetry.counters.reports);
         match self.take_in(&report) {
             Ok(false) => {}
             // what the report frees is filled with this very answer, if the
@@ -246,6 +266,7 @@
     /// what belongs to jobs that are known to be over: that is right at any
     /// time and by whomever.
     fn keep_alive(&self, i: &crate::node::Inner, report: &Report, token: u64) -> Answer {
+        count(&self.telemetry.counters.kept_alive);
         let over =
             |t: &&Reported| t.state != TaskState::Ended && i.jobs.get(&t.task.job).is_some_and(|k| k.fate.is_some());
         let halt = |t: &Reported| Command::Halt { task: t.task.clone(), attempt: t.attempt, grace: 0.0 };
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -15,6 +15,7 @@
 use crate::model::*;
 use crate::node::{Inner, Node};
 use crate::store::{key, Error, Outcome, Txn, Write};
+use crate::telemetry::{count, Timed};
 use crate::workers::Report;
 
 #[derive(Deserialize)]
@@ -100,8 +101,13 @@
                 self.to_commit.wait(Duration::from_millis(500)).await;
                 continue;
             };
+            let began = Instant::now();
             let outcome = self.store.txn(&batch.txn).await;
             let now = Instant::now();
+            self.telemetry.took(Timed::Commit, now - began);
+            if !matches!(outcome, Ok(Outcome::Done(_))) {
+                count(&self.telemetry.counters.commits_failed);
+            }
             match outcome {
                 Ok(Outcome::Done(revision)) => {
                     let ended = self.lock().cluster.as_mut().map(|c| c.committed(batch, revision, now));
@@ -166,10 +172,13 @@
         }
         if let Some(c) = i.cluster.as_mut() {
             i.wants = c.place(now);
+            for waited in c.placed_after.drain(..) {
+                self.telemetry.took(Timed::Placement, waited);
+            }
             c.tidy(now);
             let took = now.elapsed();
             i.next_pass = Some(now + self.policy.pass_gap.max(took.div_f64(self.policy.pass_share)));
-            log::trace!("a pass took {} us, {} wants", took.as_micros(), i.wants.len());
+            self.telemetry.took(Timed::Pass, took);
         }
     }
 
@@ -212,6 +221,10 @@
             };
             if let Some((d, report)) = futures_lite::future::or(next, woken).await {
                 if let Some(c) = self.lock().cluster.as_mut() {
+                    count(&self.telemetry.counters.direct);
+                    if report.is_none() {
+                        count(&self.telemetry.counters.direct_lost);
+                    }
                     c.direct_over(&d, report.as_ref(), Instant::now());
                     if c.stir {
                         self.to_place.wake();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! machines by speed variance, load and an AI2 lookahead.
 
 pub mod cli;
+pub mod client;
 pub mod cluster;
 pub mod commit;
 pub mod config;
@@ -19,4 +20,5 @@
 #[cfg(test)]
 mod sim;
 pub mod store;
+pub mod telemetry;
 pub mod workers;
--- a/src/node.rs
+++ b/src/node.rs
@@ -18,6 +18,7 @@
 use crate::placement::Want;
 use crate::policy::Policy;
 use crate::store::{key, read_value, Budget, Event, Store};
+use crate::telemetry::Telemetry;
 
 /// A job as every controller knows it.
 #[derive(Debug, Clone)]
@@ -122,6 +123,8 @@
     pub to_lead: Wake,
     /// Users' requests on their way to the store.
     pub intake: Intake,
+    /// Counters and latencies.
+    pub telemetry: Telemetry,
 }
 
 /// Runs a future for at most so long.
@@ -154,6 +157,7 @@
             stored: event_listener::Event::new(),
             to_lead: Wake::default(),
             intake: Intake::default(),
+            telemetry: Telemetry::default(),
             config,
         }
     }
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -221,6 +221,7 @@
             let m = wire::RelayRequest { method: r.method.clone(), path: r.path.clone(), body: r.body.clone() };
             let answer = self.peers.call(l, self.policy.peer_limit, |mut c| async move { c.relay(m).await }).await;
             if let Some(a) = answer.filter(|a| a.status != 503 && (200..600).contains(&a.status)) {
+                crate::telemetry::count(&self.telemetry.counters.relayed);
                 let retry_after = (a.retry_after_s > 0).then_some(a.retry_after_s);
                 return Some(Response { status: a.status as u16, body: a.body, retry_after });
             }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -51,6 +51,7 @@
     /// found no place.
     pub fn place(&mut self, now: Instant) -> Vec<Want> {
         self.stir = false;
+        self.placed_after.clear();
         self.mark_guaranteed();
         let d = self.decide(now);
         for (id, why) in d.whys {
@@ -153,7 +154,7 @@
     }
 
     /// How soon a job's tasks should start, if anything is said of it.
-    fn wait_aim(&self, j: &Job) -> Option<f64> {
+    pub fn wait_aim(&self, j: &Job) -> Option<f64> {
         let aims = [
             self.wait_aims.get(&j.spec.class).copied(),
             // the users of a service feel every second without a replica
--- a/src/placement/pass.rs
+++ b/src/placement/pass.rs
@@ -23,6 +23,10 @@
     soon: Size,
     /// Stops are under way: `soon` is more than `free`.
     stopping: bool,
+    /// Free once all but services have gone: services are packed by it, or
+    /// each would sit where some short task just ended, and keep a machine of
+    /// its own when those are through.
+    lasting: Size,
     /// Tasks that may yet be added.
     room: usize,
     /// The latest turn that work here can have; none without work.
@@ -79,8 +83,12 @@
             }
             let pool = index_of(&mut pools, (&m.kind, &m.zone, m.spot));
             let (mut free, mut soon, mut stopping, mut latest) = (m.size, m.size, false, None);
+            let mut lasting = m.size;
             for p in m.tasks.values().filter(|p| p.present()) {
                 free.take(&p.spec.size());
+                if p.spec.shape == Shape::Service {
+                    lasting.take(&p.spec.size());
+                }
                 if p.halt.is_some() {
                     stopping = true;
                 } else {
@@ -91,7 +99,7 @@
                 }
             }
             let room = c.policy.most_tasks - (m.tasks.len() + m.exited.len());
-            slots.push(Slot { m, pool, zone, free, soon, stopping, room, latest, fetches: Vec::new() });
+            slots.push(Slot { m, pool, zone, free, soon, stopping, lasting, room, latest, fetches: Vec::new() });
         }
         let inf = Size { cpus: f64::INFINITY, gpus: f64::INFINITY, memory: f64::INFINITY };
         let least = queue.iter().map(|j| j.spec.size()).fold(inf, |a, b| Size {
@@ -238,7 +246,10 @@
         let spec = &ask.job.spec;
         let grain = self.c.policy.fetch_grain_s;
         let mut picks = Picks::default();
-        let mut tier = (true, u64::MAX, true, true);
+        // an image that takes a small part of the time within which the task should
+        // start is no reason for a dear machine
+        let patience = grain.max(self.c.wait_aim(ask.job).unwrap_or(0.0) * self.c.policy.image_share);
+        let mut tier = (true, u64::MAX, true, u64::MAX, true);
         for at in 0..self.open.len() {
             let i = self.open[at];
             let s = &self.slots[i];
@@ -250,17 +261,18 @@
             {
                 continue;
             }
-            let spot = s.m.spot;
+            let (spot, left) = (s.m.spot, if spec.shape == Shape::Service { s.lasting } else { s.free });
             let failed = !ask.job.failed_on.is_empty() && ask.job.failed_on.contains(&s.m.name);
             // where a fetch is needed anyway, a fresh one warms a machine more
             let (wait, fetching) = self.image_wait(ask, i);
-            let t = (failed, (wait / grain).ceil() as u64, spec.spot && !spot, fetching);
+            let dear = spec.spot && !spot;
+            let t = (failed, (wait / patience).floor() as u64, dear, (wait / grain).ceil() as u64, fetching);
             if t < tier {
                 picks.clear();
                 tier = t;
             }
             if t == tier {
-                picks.show(self.candidate(i), &ask.size);
+                picks.show(Candidate { free: left, ..self.candidate(i) }, &ask.size);
             }
         }
         let all = || self.open.iter().map(|i| self.candidate(*i)).collect();
@@ -294,6 +306,9 @@
     /// A task is started here.
     pub fn start(&mut self, ask: &Ask<'a>, slot: usize) {
         self.take(slot, &ask.size);
+        if ask.job.spec.shape == Shape::Service {
+            self.slots[slot].lasting.take(&ask.size);
+        }
         self.used.entry(ask.job.spec.team.clone()).or_default().give(&ask.size);
         let s = &mut self.slots[slot];
         let spec = &ask.job.spec;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -108,6 +108,10 @@
     most_tasks: usize as usize, 1.0 ..= 100000.0;
     /// An empty machine is returned after so long.
     idle: Duration as Duration, 0.0 ..= 86400.0;
+    /// … or after so many times what one of its images took to arrive,
+    idle_images: f64 as f64, 0.0 ..= 100.0;
+    /// … at most this.
+    idle_most: f64 as Seconds, 0.0 ..= 86400.0;
     /// A machine that is not up after so many times its usual boot time is
     /// given back.
     boot_factor: f64 as f64, 1.0 ..= 100.0;
@@ -121,6 +125,11 @@
     list_every: Duration as Duration, 0.1 ..= 3600.0;
     /// How long a list may lag.
     list_lag: Duration as Duration, 0.0 ..= 3600.0;
+    /// When a new leader's lists show what its forerunner rented; what they
+    /// still miss is rented twice, and then used or returned.
+    list_settles: Duration as Duration, 0.0 ..= 3600.0;
+    /// A machine that lists miss is given up after so long a silence.
+    missed: Duration as Duration, 0.1 ..= 3600.0;
     /// No capacity: how long that kind is not asked for again.
     capacity_rest: Duration as Duration, 0.0 ..= 3600.0;
     /// Share of all guarantees that is kept on hand, busy or not: a guarantee
@@ -171,6 +180,9 @@
     direct_limit: Duration as Duration, 0.05 ..= 60.0;
     /// How long an answer to a report waits for the store.
     commit_wait: Duration as Duration, 0.0 ..= 3.0;
+    /// An image's fetch that takes a smaller share than this of the time
+    /// within which a task should start is no reason for a dearer machine.
+    image_share: f64 as f64, 0.0 ..= 1.0;
     /// Waits for images that differ by less than this count as equal.
     fetch_grain_s: f64 as Seconds, 0.001 ..= 600.0;
     /// Drift of a steady clock.
@@ -180,6 +192,7 @@
 /// What has to hold between values, and why.
 const RELATIONS: &[(&str, &str)] = &[
     ("renew * 2 < ttl", "a lease must survive one lost renewal"),
+    ("missed > workers.report_s * 1.3", "a report may be late by a quarter"),
     ("fresh < silent", "a machine is avoided before it is given up"),
     ("silent < workers.lease_s", "tasks of a silent machine are replaced before they kill themselves"),
     ("deaf > workers.report_s", "one report interval of quiet is ordinary"),
--- a/src/sim.rs
+++ b/src/sim.rs
@@ -661,6 +661,15 @@
             if cut {
                 let w = &mut self.workers[i];
                 (w.renewed, w.flight) = (self.now, None);
+                // it stops what it knew to be over when the cut began; what
+                // was withdrawn less than a watch's delay before may escape it
+                let known = self.now.saturating_sub(45_000);
+                let over = |t: &Task| self.cancelled.get(&t.job).is_some_and(|c| *c < known);
+                for (_, work) in w.tasks.iter_mut().filter(|(t, _)| over(t)).map(|(_, v)| v) {
+                    if !matches!(work, Work::Ended(_)) {
+                        *work = Work::Ended(Cause::Stopped);
+                    }
+                }
             }
             let lease = 30_000;
             if self.now.saturating_sub(self.workers[i].renewed) > lease {
@@ -799,7 +808,15 @@
             for (t, (_, work)) in &w.tasks {
                 let on = !matches!(work, Work::Pulling { .. } | Work::Ended(_));
                 if on && self.cancelled.get(&t.job).is_some_and(|c| self.now - c > 60_000) {
-                    self.broken.push(format!("ran_cancelled: {t} on {}", w.name));
+                    let known = |c: &Controller| {
+                        let m = c.cluster.machines.get(&w.name);
+                        m.map(|m| {
+                            (c.until, c.cluster.term, m.heard.is_some(), m.deleting.is_some(), m.tasks.get(t).cloned())
+                        })
+                    };
+                    let known: Vec<_> = self.controllers.iter().flatten().map(known).collect();
+                    let world = (self.cancelled[&t.job], self.outage, self.cut, w.hung_until, w.renewed);
+                    self.broken.push(format!("ran_cancelled: {t} on {}: {world:?}, {known:?}", w.name));
                 }
             }
         }
@@ -830,7 +847,7 @@
                 let i = self.rng.usize(0..3);
                 self.no_renewal[i] = t + self.rng.u64(20..200) * STEP;
             }
-            9 => self.cut[self.rng.usize(0..3)] = t + self.rng.u64(100..700) * STEP,
+            9 => self.cut[self.rng.usize(0..3)] = t + self.rng.u64(100..450) * STEP,
             // dozens at once in a large world
             kind => {
                 for _ in 0..self.scale.div_ceil(30) {
