--- a/src/placement/pass.rs
+++ b/src/placement/pass.rs
@@ -346,7 +346,9 @@
                 || self.stopped.contains(&(&s.m.name, t));
             let of = self.c.jobs.get(&p.spec.id).filter(|_| !stays);
             if of.is_some_and(|of| gives_way(ask.job, of, &self.c.teams, &self.used)) {
-                victims.push((loss(p, self.now), t, p));
+                // a gang goes as a whole
+                let mates = of.map_or(1, |of| if of.spec.shape == Shape::Gang { of.places.len() } else { 1 });
+                victims.push((loss(p, self.now) * mates.max(1) as f64, t, p));
             }
         }
         victims.sort_by(|a, b| b.2.spec.rank.cmp(&a.2.spec.rank).then(a.0.total_cmp(&b.0)));
