A new leader learns from its siblings which machines hold which image, and their speeds

Cause: after each change of leader all machines counted as cold, so gangs went wherever there was room and waited 20 to 90 s for images that idle machines beside them held. The leader's siblings already ask it how jobs get on; they now also hear which images machines hold and how fast they are, and a new leader asks them. Hints only: nothing is decided by them but preference.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -323,6 +323,17 @@
     }
 }
 
+/// What was learned of a machine; a hint for the next leader.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Learned {
+    /// Its speed, as observed, and by how many tasks.
+    pub speed: f64,
+    /// Tasks observed.
+    pub samples: u32,
+    /// Images it holds, the most recently used last.
+    pub images: Vec<(Name, f64)>,
+}
+
 /// Everything a leader knows.
 #[derive(Debug)]
 pub struct Cluster {
@@ -360,6 +371,8 @@
     pub next_page: u32,
     /// Machines that there may be something to tell.
     pub tell: BTreeSet<Name>,
+    /// What the forerunner had learned of machines that have not reported yet.
+    pub learned: HashMap<Name, Learned>,
     /// How long the tasks placed in the last pass had waited.
     pub placed_after: Vec<Duration>,
 }
@@ -406,6 +419,7 @@
             pages: BTreeMap::new(),
             next_page: 0,
             tell: BTreeSet::new(),
+            learned: HashMap::new(),
             placed_after: Vec::new(),
         }
     }
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -43,8 +43,10 @@
     /// Leads until the term is over; the caller drops this when it is.
     pub async fn lead(&self, a: Authority) -> &'static str {
         loop {
-            match self.read_all(a).await {
-                Ok(c) => {
+            let asked = crate::node::timed(self.policy.renew, self.ask_learned());
+            match futures_util::future::join(self.read_all(a), asked).await.0 {
+                Ok(mut c) => {
+                    c.learned = self.peers.learned();
                     let mut i = self.lock();
                     log::info!("term {}: {} jobs, {} machines on record", a.term, c.jobs.len(), c.machines.len());
                     i.cluster = Some(c);
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -19,7 +19,9 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use tonic::body::Body;
 
+use crate::cluster::Learned;
 use crate::http::{Request, Response};
+use crate::model::Name;
 use crate::node::{timed, Node};
 
 /// What protox made of `proto/peer.proto`.
@@ -76,10 +78,45 @@
     seen: Mutex<HashMap<String, Seen>>,
     /// Progress of jobs as the leader last told.
     progress: Mutex<HashMap<crate::model::Name, (u32, u32)>>,
+    /// What the leader had learned of machines, as it last told.
+    learned: Mutex<HashMap<Name, Learned>>,
     spawn: Spawner,
     work: smol::channel::Receiver<Work>,
 }
 
+/// What was learned of machines, for the wire: each image once.
+fn to_wire<'a>(
+    all: impl Iterator<Item = (&'a Name, f64, u32, &'a [(Name, f64)])>,
+) -> (Vec<wire::Learned>, Vec<wire::Image>) {
+    let (mut machines, mut images) = (Vec::new(), Vec::new());
+    let mut known: HashMap<&Name, u32> = HashMap::new();
+    for (machine, speed, samples, held) in all.filter(|l| !l.3.is_empty() || l.2 > 0) {
+        let held = held.iter().map(|(name, gb)| {
+            *known.entry(name).or_insert_with(|| {
+                images.push(wire::Image { name: name.to_string(), gb: *gb });
+                images.len() as u32 - 1
+            })
+        });
+        let images = held.collect();
+        machines.push(wire::Learned { machine: machine.to_string(), speed, samples, images });
+    }
+    (machines, images)
+}
+
+fn from_wire(machines: Vec<wire::Learned>, images: &[wire::Image]) -> HashMap<Name, Learned> {
+    let names: Vec<(Name, f64)> = images.iter().map(|i| (i.name.as_str().into(), i.gb)).collect();
+    // strange figures are no hint
+    let sane = |l: &wire::Learned| l.speed.is_finite() && (0.01..=100.0).contains(&l.speed);
+    machines
+        .into_iter()
+        .filter(sane)
+        .map(|l| {
+            let images = l.images.iter().filter_map(|i| names.get(*i as usize).cloned()).collect();
+            (l.machine.as_str().into(), Learned { speed: l.speed, samples: l.samples, images })
+        })
+        .collect()
+}
+
 /// One HTTP/2 connection as tonic's transport.
 struct Channel(SendRequest<Body>);
 
@@ -110,6 +147,7 @@
             links: siblings.iter().map(link).collect(),
             seen: Mutex::default(),
             progress: Mutex::default(),
+            learned: Mutex::default(),
             spawn: Spawner(s),
             work,
         }
@@ -161,6 +199,11 @@
         lock(&self.progress).get(id).copied().unwrap_or_default()
     }
 
+    /// What the leader had learned of machines, as it last told.
+    pub fn learned(&self) -> HashMap<Name, Learned> {
+        lock(&self.learned).clone()
+    }
+
     /// Whether siblings answered lately, all of them refused by the state
     /// service and none of a later term: an outage, not our own trouble.
     pub fn outage(&self, term: u64, fresh: Duration, now: Instant) -> bool {
@@ -185,6 +228,9 @@
         let seen = Seen { at: Instant::now(), served: s.served, term: s.term };
         lock(&self.peers.seen).insert(l.name.clone(), seen);
         if progress {
+            if !s.machines.is_empty() {
+                *lock(&self.peers.learned) = from_wire(s.machines, &s.images);
+            }
             *lock(&self.peers.progress) =
                 s.jobs.into_iter().map(|j| (j.id.as_str().into(), (j.done, j.running))).collect();
         }
@@ -206,6 +252,11 @@
         }
     }
 
+    /// Asks the siblings what a forerunner had learned of machines.
+    pub async fn ask_learned(&self) {
+        futures_util::future::join_all(self.peers.links.iter().map(|l| self.ask(l, true))).await;
+    }
+
     /// Has a sibling answer a user's request.
     pub async fn relay(&self, r: &Request) -> Option<Response> {
         let now = Instant::now();
@@ -288,10 +339,49 @@
         &self,
         r: tonic::Request<wire::StatusRequest>,
     ) -> Result<tonic::Response<wire::StatusResponse>, tonic::Status> {
-        let jobs = if r.into_inner().progress { self.0.progress() } else { Vec::new() };
+        let progress = r.into_inner().progress;
+        let jobs = if progress { self.0.progress() } else { Vec::new() };
+        let (machines, images) = match progress {
+            false => Default::default(),
+            true => match self.0.lock().cluster.as_ref() {
+                Some(c) => {
+                    let up = c.machines.values().filter(|m| m.gone.is_none());
+                    to_wire(up.map(|m| (&m.name, m.speed, m.samples, &m.images[..])))
+                }
+                None => {
+                    let known = lock(&self.0.peers.learned);
+                    to_wire(known.iter().map(|(n, l)| (n, l.speed, l.samples, &l.images[..])))
+                }
+            },
+        };
         let leads = self.0.may_act(Instant::now());
         let served = !self.0.store.failing();
         let term = self.0.lock().leader.as_ref().map_or(0, |l| l.record.term);
-        Ok(tonic::Response::new(wire::StatusResponse { served, term, leads, jobs }))
+        Ok(tonic::Response::new(wire::StatusResponse { served, term, leads, jobs, machines, images }))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    proptest! {
+        /// What one leader learned reaches the next as it was.
+        #[test]
+        fn learned_survives_the_wire(
+            all in prop::collection::btree_map("i-[0-9]{4}", (0.1f64..10.0, 1u32..9, prop::collection::vec(0usize..5, 0..4)), 0..20),
+        ) {
+            let image = |i: &usize| (Name::from(format!("img-{i}")), *i as f64 + 1.0);
+            let all: HashMap<Name, Learned> = all
+                .into_iter()
+                .map(|(n, (speed, samples, held))| {
+                    (n.as_str().into(), Learned { speed, samples, images: held.iter().map(image).collect() })
+                })
+                .collect();
+            let (machines, images) = to_wire(all.iter().map(|(n, l)| (n, l.speed, l.samples, &l.images[..])));
+            prop_assert!(images.len() <= 5);
+            prop_assert_eq!(from_wire(machines, &images), all);
+        }
     }
 }
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -268,8 +268,12 @@
         }
         // a start decided for the last session is for this one now
         if session_changed {
+            let learned = self.learned.remove(&r.machine);
             if let Some(m) = self.machines.get_mut(&r.machine) {
                 m.images.clear();
+                if let Some(l) = learned {
+                    (m.speed, m.samples, m.images) = (l.speed, l.samples, l.images);
+                }
             }
         }
 
