--- /dev/null
+++ b/examples/embed.rs
@@ -0,0 +1,84 @@
+//! A program that embeds the decision code: it knows two machines, takes a
+//! job, and asks where its tasks would go.  Nothing is started and no socket
+//! is opened.
+//!
+//! Run it with `cargo run --example embed -- settings.toml`.
+
+use std::collections::HashMap;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Instant;
+
+use coralnotch::cluster::Cluster;
+use coralnotch::config::Config;
+use coralnotch::model::{MachineType, Rank, Shape, Spec};
+use coralnotch::policy::Policy;
+use coralnotch::workers::Report;
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let file = std::env::args().nth(1).ok_or("usage: embed SETTINGS")?;
+    let config = Config::load(Path::new(&file))?;
+    let faults = |f: Vec<_>| f.iter().map(|f: &coralnotch::policy::check::Fault| f.to_string()).collect::<String>();
+    let policy = Policy::new(&config).map_err(faults)?;
+
+    let now = Instant::now();
+    let mut cluster = Cluster::new(1, Arc::new(policy), HashMap::new(), now);
+    cluster.set_types(&[MachineType {
+        name: "m8".into(),
+        cpus: 8.0,
+        gpus: 0.0,
+        memory: 32.0,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 1.0,
+        price: 1.0,
+        spot_price: 0.4,
+        boot_s: 30.0,
+        zones: vec!["a".into()],
+    }]);
+    for (name, spot) in [("i-000001", false), ("i-000002", true)] {
+        let report = Report {
+            machine: name.into(),
+            address: "127.0.0.1:9000".into(),
+            kind: "m8".into(),
+            zone: "a".into(),
+            spot,
+            session: 1,
+            tally: 1,
+            token: 0,
+            notice_s: None,
+            tasks: Vec::new(),
+        };
+        cluster.report(&report, true, now);
+    }
+    let spec = Spec {
+        id: "j-000001".into(),
+        class: "demo".into(),
+        team: "demo".into(),
+        shape: Shape::Array,
+        rank: Rank::Normal,
+        tasks: 5,
+        cpus: 3.0,
+        gpus: 0.0,
+        memory: 4.0,
+        image: "img-01".into(),
+        image_gb: 2.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        estimate_s: 60.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    };
+    cluster.add_job(Arc::new(spec), 1, None, now);
+    for want in cluster.place(now) {
+        println!("{} tasks of {} find no room", want.count, want.spec.id);
+    }
+    for (name, machine) in &cluster.machines {
+        let tasks: Vec<String> = machine.tasks.keys().map(|t| t.to_string()).collect();
+        println!("{name} (spot: {}) gets {}", machine.spot, tasks.join(", "));
+    }
+    Ok(())
+}
--- a/src/commit.rs
+++ b/src/commit.rs
@@ -317,3 +317,98 @@
     /// How it ended.
     pub fate: Fate,
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::sim::{cluster, spec};
+    use proptest::prelude::*;
+
+    fn limits(page_bytes: usize) -> TxnLimits {
+        TxnLimits { writes: 8, guards: 32, page_bytes }
+    }
+
+    proptest! {
+        /// All that is committed is found by the next leader, over however
+        /// many pages and however the tasks come and go; no page outgrows its
+        /// limit, and no start is called stored that no page has.
+        #[test]
+        fn pages_hold_what_is_true(ops in prop::collection::vec((0u8..4, 0u32..40, 0usize..6), 1..120)) {
+            let now = Instant::now();
+            let mut c = cluster(1, now);
+            let mut store: HashMap<String, Item> = HashMap::new();
+            let mut revision = 10;
+            c.add_job(spec("j-000001", 40), 1, None, now);
+            for i in 0..6 {
+                let name: Name = format!("i-{i}").into();
+                let mut m = crate::cluster::Machine::new(name.clone(), "t".into(), "z0".into(), false, now);
+                m.session = 1;
+                c.machines.insert(name, m);
+            }
+            for (op, index, machine) in ops {
+                let task = Task { job: "j-000001".into(), index };
+                let machine: Name = format!("i-{machine}").into();
+                match op {
+                    0 | 1 => {
+                        let attempt = c.new_attempt();
+                        c.assign(&task, &machine, attempt, now);
+                    }
+                    2 => {
+                        let at = c.jobs["j-000001"].places.get(&index).map(|l| l[0].clone());
+                        if let Some(at) = at {
+                            c.vacate(&at, &task, now);
+                        }
+                    }
+                    _ => {
+                        if let Some(b) = c.next_batch(5, &limits(1024 + 400)) {
+                            revision += 1;
+                            for w in &b.txn.writes {
+                                if let Write::Set { set, data, .. } = w {
+                                    let size = serde_json::to_string(&data).map_or(0, |s| s.len());
+                                    prop_assert!(size <= 1024 + 400, "a page of {} bytes", size);
+                                    let item = Item { path: set.clone(), data: data.clone(), stamp: revision };
+                                    store.insert(set.clone(), item);
+                                }
+                            }
+                            c.committed(b, revision, now);
+                        }
+                    }
+                }
+            }
+            let mut next = cluster(2, now);
+            next.add_job(spec("j-000001", 40), 1, None, now);
+            for (path, item) in &store {
+                let (id, page, machines) = read_page(path, item).expect("our own page");
+                prop_assert_eq!(c.pages[&id].stamp, page.stamp);
+                next.add_page(id, page, &machines, now);
+            }
+            for (name, m) in &c.machines {
+                for (task, p) in m.tasks.iter().filter(|(_, p)| p.stored) {
+                    let found = next.machines.get(name).and_then(|m| m.tasks.get(task));
+                    prop_assert!(found.is_some_and(|f| f.attempt == p.attempt && f.former), "{} is lost", task);
+                }
+            }
+        }
+    }
+
+    /// The end of a job is stored once, and with the last task, not before.
+    #[test]
+    fn the_end_comes_with_the_last_task() {
+        let now = Instant::now();
+        let mut c = cluster(1, now);
+        c.add_job(spec("j-000001", 2), 1, None, now);
+        let task = |index| Task { job: "j-000001".into(), index };
+        c.complete(&task(0), now);
+        let b = c.next_batch(5, &limits(4096)).expect("a completed task");
+        assert!(b.ends.is_empty() && b.done.len() == 1);
+        assert!(c.committed(b, 6, now).is_empty());
+        c.complete(&task(1), now);
+        let b = c.next_batch(5, &limits(4096)).expect("the end");
+        assert!(b.txn.guarded("c2/w/fate/j-000001"));
+        // in doubt: said again, and only its success counts
+        c.not_committed(b);
+        let b = c.next_batch(5, &limits(4096)).expect("the end again");
+        assert_eq!(c.committed(b, 7, now), ["j-000001".into()]);
+        assert!(c.next_batch(5, &limits(4096)).is_none());
+    }
+}
