Commands survive a reader that goes away; completed tasks are cleared by their ranges

Tried as a new user would: coralnotch check | head ended in a panic over the broken pipe. Clearing completed tasks walked all placed tasks of a job for every transaction; now only those that completed.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -109,9 +110,9 @@
     };
     if !run {
         for (name, value, origin) in &checked.origins {
-            println!("{name:20} {value:>12}  = {origin}");
+            say(&format!("{name:20} {value:>12}  = {origin}"));
         }
-        println!("{}: settings and policy are in order", config.display());
+        say(&format!("{}: settings and policy are in order", config.display()));
         return ExitCode::SUCCESS;
     }
     match daemon(settings, checked.policy) {
@@ -123,6 +124,11 @@
     }
 }
 
+/// Prints a line.  A reader that has gone away, such as `head`, is no failure.
+fn say(line: &str) {
+    let _ = writeln!(std::io::stdout(), "{line}");
+}
+
 /// Runs a command against a running controller.
 fn ask(command: &Command) -> ExitCode {
     use crate::client::{job_text, print, read_job, status_text, Controller, Error};
@@ -138,7 +144,7 @@
     });
     match done {
         Ok(text) => {
-            println!("{text}");
+            say(&text);
             ExitCode::SUCCESS
         }
         Err(e) => {
--- a/src/client.rs
+++ b/src/client.rs
@@ -178,7 +178,9 @@
         ));
     }
     let counters: Vec<String> = s.counters.iter().filter(|c| *c.1 > 0).map(|(n, c)| format!("{n} {c}")).collect();
-    lines.push(format!("  {}", counters.join(", ")));
+    if !counters.is_empty() {
+        lines.push(format!("  {}", counters.join(", ")));
+    }
     lines.join("\n")
 }
 
--- a/src/commit.rs
+++ b/src/commit.rs
@@ -274,10 +274,15 @@
     /// may be acknowledged there.
     fn clear_completed(&mut self, id: &Name, which: Option<&Ranges>, now: Instant) {
         let Some(job) = self.jobs.get(id) else { return };
-        for (name, task) in job.placed() {
-            if which.is_some_and(|r| !r.contains(task.index)) {
-                continue;
+        let places: Vec<(Name, Task)> = match which {
+            None => job.placed(),
+            Some(r) => {
+                let at = |n| job.places.get(&n).into_iter().flatten().map(move |m| (m.clone(), n));
+                let task = |(m, index)| (m, Task { job: id.clone(), index });
+                r.iter().flat_map(at).map(task).collect()
             }
+        };
+        for (name, task) in places {
             let place = self.machines.get(&name).and_then(|m| m.tasks.get(&task));
             let Some(attempt) = place.filter(|p| p.phase == Phase::Completed).map(|p| p.attempt) else { continue };
             self.vacate(&name, &task, now);
