A new leader makes its picture and leads by it under one lock: no withdrawal lost

What the watch brought in between reached neither. Ruled out: a lost stop (the leader never decided one) and the cut zone itself (the machine was outside).

The hints are asked for while the pages are read; the picture is made and led by in one function without an await.

--- a/src/leader.rs
+++ b/src/leader.rs
@@ -14,7 +14,7 @@
 use crate::leadership::Authority;
 use crate::model::*;
 use crate::node::{Inner, Node};
-use crate::store::{key, Error, Outcome, Txn, Write};
+use crate::store::{key, Error, Item, Outcome, Txn, Write};
 use crate::telemetry::{count, Timed};
 use crate::workers::Report;
 
@@ -43,15 +43,8 @@
     /// Leads until the term is over; the caller drops this when it is.
     pub async fn lead(&self, a: Authority) -> &'static str {
         loop {
-            let asked = crate::node::timed(self.policy.renew, self.ask_learned());
-            match futures_util::future::join(self.read_all(a), asked).await.0 {
-                Ok(mut c) => {
-                    c.learned = self.peers.learned();
-                    let mut i = self.lock();
-                    log::info!("term {}: {} jobs, {} machines on record", a.term, c.jobs.len(), c.machines.len());
-                    i.cluster = Some(c);
-                    break;
-                }
+            match self.read_all(a).await {
+                Ok(()) => break,
                 Err(e) => {
                     log::info!("cannot read the store for term {}: {e}", a.term);
                     smol::Timer::after(self.policy.renew / 4).await;
@@ -66,14 +59,22 @@
     }
 
     /// A new leader's picture: jobs from the watch, the rest from the store.
-    async fn read_all(&self, a: Authority) -> Result<Cluster, Error> {
+    async fn read_all(&self, a: Authority) -> Result<(), Error> {
         // the watch has to be past our own beginning, or a job named in a
         // record might still be unknown
         while self.lock().epoch < a.stamp {
             smol::Timer::after(Duration::from_millis(20)).await;
         }
-        let pages = self.store.list(key::PAGE).await?.0;
-        let now = Instant::now();
+        let asked = crate::node::timed(self.policy.renew, self.ask_learned());
+        let (pages, _) = futures_util::future::join(self.store.list(key::PAGE), asked).await;
+        self.take_over(a, pages?.0, Instant::now());
+        Ok(())
+    }
+
+    /// Makes the picture and leads by it, under one lock and with no await:
+    /// what the watch brings is either in the picture or reaches it.  A pause
+    /// between the two once lost a withdrawal, and its task ran on.
+    fn take_over(&self, a: Authority, pages: Vec<Item>, now: Instant) {
         let mut c = Cluster::new(a.term, self.policy.clone(), self.teams(), now);
         for o in self.config.deployment.objectives.iter().filter(|o| o.kind == "wait") {
             if let (Some(class), Some(within)) = (&o.class, o.within_s) {
@@ -81,7 +82,7 @@
                 *aim = aim.min(within);
             }
         }
-        let i = self.lock();
+        let mut i = self.lock();
         c.set_types(&i.types);
         for k in i.jobs.values() {
             c.add_job(k.spec.clone(), k.stamp, k.fate, now);
@@ -92,7 +93,9 @@
             }
         }
         c.tidy(now);
-        Ok(c)
+        c.learned = self.peers.learned();
+        log::info!("term {}: {} jobs, {} machines on record", a.term, c.jobs.len(), c.machines.len());
+        i.cluster = Some(c);
     }
 
     /// Stores what there is to store, one transaction at a time.
@@ -429,3 +432,33 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::config::Config;
+    use crate::policy::Policy;
+    use crate::sim::{spec, SETTINGS};
+
+    /// What the watch brings just before a leader takes over is in its
+    /// picture, and what it brings just after reaches it.
+    #[test]
+    fn no_withdrawal_falls_between_reading_and_leading() {
+        let now = Instant::now();
+        let config = Config::parse("test", SETTINGS).expect("settings of the tests");
+        let policy = Policy::new(&config).expect("the default policy");
+        let node = Node::new(config, policy, now);
+        for id in ["j-000001", "j-000002", "j-000003"] {
+            node.learn_job(spec(id, 1), 1, now);
+        }
+        node.learn_fate("j-000001", Fate::Cancelled, now);
+        node.take_over(Authority { term: 2, stamp: 1, hold: 1, until: now, since: now }, Vec::new(), now);
+        node.learn_fate("j-000002", Fate::Cancelled, now);
+        node.learn_job(spec("j-000004", 1), 2, now);
+        let i = node.lock();
+        let c = i.cluster.as_ref().expect("it leads");
+        let open: std::collections::BTreeSet<&str> =
+            c.jobs.values().filter(|j| j.fate.is_none()).map(|j| &*j.spec.id).collect();
+        assert_eq!(open.into_iter().collect::<Vec<_>>(), ["j-000003", "j-000004"]);
+    }
+}
