--- a/src/commit.rs
+++ b/src/commit.rs
@@ -224,10 +224,7 @@
             let Some(m) = self.machines.get(&s.machine) else { continue };
             let machine = *machines.entry(&s.machine).or_insert_with(|| {
                 let pool = (m.kind.clone(), m.zone.clone(), m.spot);
-                let pool = r.pools.iter().position(|p| *p == pool).unwrap_or_else(|| {
-                    r.pools.push(pool);
-                    r.pools.len() - 1
-                });
+                let pool = index_of(&mut r.pools, pool);
                 r.machines.push((s.machine.clone(), pool));
                 r.machines.len() - 1
             });
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -178,7 +178,7 @@
         let mut i = self.lock();
         let now = Instant::now();
         // checked at the moment of answering: the lease may have run out
-        if i.authority.is_some_and(|a| now < a.until) {
+        if i.acts(now) {
             if let Some(c) = i.cluster.as_mut() {
                 return Response::new(200, &c.answer(&report, now));
             }
@@ -194,7 +194,7 @@
         if *report.zone != *self.config.zone {
             i.foreign = Some(now);
         }
-        if i.authority.is_none_or(|a| now >= a.until) {
+        if !i.acts(now) {
             // an outage of the state service, by the siblings' word: nobody
             // can lead, and our lease outlives it.  The workers' leases are
             // renewed, without commands; as silence is never a proof here,
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -172,7 +172,7 @@
     /// One pass over the queue, if this controller may act and the last one is
     /// long enough ago: passes take no more than their share of the processor.
     pub fn pass(&self, i: &mut Inner, now: Instant) {
-        if i.next_pass.is_some_and(|t| now < t) || i.authority.is_none_or(|a| now >= a.until) {
+        if i.next_pass.is_some_and(|t| now < t) || !i.acts(now) {
             return;
         }
         if let Some(c) = i.cluster.as_mut() {
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -47,7 +47,7 @@
 impl Node {
     /// Whether this controller may act now.
     pub fn may_act(&self, now: Instant) -> bool {
-        self.lock().authority.is_some_and(|a| now < a.until)
+        self.lock().acts(now)
     }
 
     /// Stands for leader whenever there is none, and leads.
--- a/src/model.rs
+++ b/src/model.rs
@@ -8,6 +8,14 @@
 /// A name shared by many places.
 pub type Name = Arc<str>;
 
+/// Where a value stands in a short list; it is added if it is not there.
+pub(crate) fn index_of<T: PartialEq>(list: &mut Vec<T>, x: T) -> usize {
+    list.iter().position(|y| *y == x).unwrap_or_else(|| {
+        list.push(x);
+        list.len() - 1
+    })
+}
+
 /// The shape of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Shape {
--- a/src/node.rs
+++ b/src/node.rs
@@ -65,6 +65,13 @@
     pub next_pass: Option<Instant>,
 }
 
+impl Inner {
+    /// Whether this controller leads and its lease still lasts.
+    pub fn acts(&self, now: Instant) -> bool {
+        self.authority.is_some_and(|a| now < a.until)
+    }
+}
+
 /// A wake-up that is never lost and never queues up.
 pub struct Wake(smol::channel::Sender<()>, smol::channel::Receiver<()>);
 
--- a/src/placement/pass.rs
+++ b/src/placement/pass.rs
@@ -66,13 +66,6 @@
     stopped: HashSet<(&'a Name, &'a Task)>,
 }
 
-fn index_of<T: PartialEq>(list: &mut Vec<T>, x: T) -> usize {
-    list.iter().position(|y| *y == x).unwrap_or_else(|| {
-        list.push(x);
-        list.len() - 1
-    })
-}
-
 impl<'a> Pass<'a> {
     pub fn new(c: &'a Cluster, queue: &[&'a Job], now: Instant) -> Pass<'a> {
         let (mut pools, mut zones, mut slots) = (Vec::new(), Vec::new(), Vec::new());
@@ -283,22 +276,26 @@
         picks.decide(&ask.size, &weather, all, &later)
     }
 
+    /// Changes the free room of a slot, and the sum over all with it.
+    fn free_changes(&mut self, slot: usize, change: impl FnOnce(&mut Size)) {
+        let free = &mut self.slots[slot].free;
+        self.free_cpus -= free.cpus.max(0.0);
+        change(free);
+        self.free_cpus += free.cpus.max(0.0);
+    }
+
     /// Takes room away.
     pub fn take(&mut self, slot: usize, size: &Size) {
+        self.free_changes(slot, |free| free.take(size));
         let s = &mut self.slots[slot];
-        self.free_cpus -= s.free.cpus.max(0.0);
-        s.free.take(size);
-        self.free_cpus += s.free.cpus.max(0.0);
         s.soon.take(size);
         s.room = s.room.saturating_sub(1);
     }
 
     /// Undoes [`Pass::take`].
     pub fn give_back(&mut self, slot: usize, size: &Size) {
+        self.free_changes(slot, |free| free.give(size));
         let s = &mut self.slots[slot];
-        self.free_cpus -= s.free.cpus.max(0.0);
-        s.free.give(size);
-        self.free_cpus += s.free.cpus.max(0.0);
         s.soon.give(size);
         s.room += 1;
     }
@@ -396,10 +393,7 @@
     /// Keeps what a promise needs out of the hands of later tasks.  The tasks
     /// that stop still count for their team until they are gone.
     pub fn hold(&mut self, ask: &Ask, slot: usize) {
-        let s = &mut self.slots[slot];
-        self.free_cpus -= s.free.cpus.max(0.0);
-        s.free.take(&ask.size);
-        self.free_cpus += s.free.cpus.max(0.0);
+        self.free_changes(slot, |free| free.take(&ask.size));
     }
 
     /// What is planned to stop does stop, gangs whole; until it is gone it
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -208,8 +208,7 @@
     /// What operators ask for.
     pub fn status(&self, now: Instant) -> Status {
         let i = self.lock();
-        let leads = i.authority.is_some_and(|a| now < a.until);
-        let leading = i.cluster.as_ref().filter(|_| leads).map(|c| {
+        let leading = i.cluster.as_ref().filter(|_| i.acts(now)).map(|c| {
             let since = |t: Instant| now.duration_since(t).as_secs_f64();
             let mut f = Figures {
                 term: c.term,
