A deaf leader asks its siblings and hands over; a gap of its own is no silence

Ruled out: the freezes (takeover within the lease, no lease ran out there). Change: after half a report interval without any worker the siblings are asked whether workers turn to them; if one that was sent on does not come, the leader stands down until a worker is heard here. A controller that stood still measures every silence anew, and a deposed one sends no deletion or rental any more.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -194,6 +194,8 @@
         let n = node.clone();
         ex.spawn(async move { n.follow().await }).detach();
         let n = node.clone();
+        ex.spawn(async move { n.pulse().await }).detach();
+        let n = node.clone();
         let watch = ex.spawn(async move { n.watch().await });
         let n = node.clone();
         ex.spawn(async move { n.stand().await }).detach();
--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -354,6 +354,9 @@
     pub teams: HashMap<Name, TeamLimit>,
     /// When this leader began.
     pub began: Instant,
+    /// Since when this controller has not stood still; no silence of others
+    /// counts from before.
+    pub awake: Instant,
     /// Rentals and what comes of them.
     pub fleet: crate::fleet::Fleet,
     /// Ratio of run time to estimate, by class.
@@ -410,6 +413,7 @@
             wait_aims: HashMap::new(),
             teams,
             began: now,
+            awake: now,
             fleet: crate::fleet::Fleet::default(),
             bias: HashMap::new(),
             stir: true,
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -287,8 +287,8 @@
         let mut free = self.free_room(now);
         free.take(&self.headroom_size());
         let bare = |size: &Size| Size { memory: 0.0, ..*size };
-        let began = self.began;
-        let quiet = |m: &Machine| now.duration_since(m.heard.unwrap_or(began.max(m.known)));
+        let (began, awake) = (self.began, self.awake);
+        let quiet = |m: &Machine| now.duration_since(m.heard.unwrap_or(began.max(m.known)).max(awake));
         let up = |m: &&Machine| {
             m.gone.is_none() && (m.heard.is_some() || m.stage == Some(Stage::Running) || !m.tasks.is_empty())
         };
@@ -310,7 +310,7 @@
         let needed = self.needed_idle(now);
         let mut moves: Vec<(Name, Task)> = Vec::new();
         for m in self.machines.values_mut().filter(|m| m.gone.is_none()) {
-            let silence = now.duration_since(m.heard.unwrap_or(began.max(m.known)));
+            let silence = quiet(m);
             // it was listed for long, and the newest list lacks it: a list that
             // is older than others would still have it, so it is gone.  No
             // proof, but reason enough to ask for one, a deletion
@@ -336,7 +336,7 @@
             } else if unlisted && silence > policy.missed {
                 Some("is silent and not listed")
             } else if m.heard.is_none() && m.stage != Some(Stage::Running) && m.tasks.is_empty() {
-                (now.duration_since(m.rented) > boot_limit).then_some("does not come up")
+                (now.duration_since(m.rented) > boot_limit && silence > policy.fresh).then_some("does not come up")
             } else if silence > policy.silent && !everywhere && !cut.contains(&m.zone) {
                 Some("is silent")
             } else if m.drain.is_some() && m.tasks.is_empty() {
@@ -571,6 +571,21 @@
         assert_eq!(c.plan(&[], later).delete.len(), 5);
     }
 
+    /// The silence of a controller that stood still is its own: nothing is
+    /// given up for it, and what stays silent after it is.
+    #[test]
+    fn a_gap_of_its_own_condemns_nobody() {
+        let t0 = Instant::now();
+        let mut c = cluster(2, t0);
+        c.add_job(spec("j-000001", 1000), 1, None, t0);
+        on_record(&mut c, 2, "z0", "j-000001", t0);
+        let woke = t0 + c.policy.silent * 2;
+        c.awake = woke;
+        assert!(c.plan(&[], woke).delete.is_empty());
+        let later = woke + c.policy.silent + Duration::from_secs(1);
+        assert_eq!(c.plan(&[], later).delete.len(), 2);
+    }
+
     /// A task of a withdrawn job on a machine that no stop reaches: the cloud
     /// has to take the machine, and in time, also under a new leader that only
     /// reads of the start.  Else a controller in a cut zone might keep it.
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -191,6 +191,8 @@
     fn take_in(&self, report: &Report) -> Result<bool, Response> {
         let mut i = self.lock();
         let now = Instant::now();
+        self.beat(&mut i, now);
+        i.heard = Some(now);
         if *report.zone != *self.config.zone {
             i.foreign = Some(now);
         }
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -7,11 +7,11 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use serde::{Deserialize, Serialize};
 
-use crate::cluster::Cluster;
+use crate::cluster::{Cluster, Machine, Stage};
 use crate::commit::read_page;
 use crate::fleet::{Listed, Plan, Rental};
 use crate::http;
-use crate::leadership::Authority;
+use crate::leadership::{Authority, Ears};
 use crate::model::*;
 use crate::node::{Inner, Node};
 use crate::store::{key, Error, Item, Outcome, Txn, Write};
@@ -36,6 +36,9 @@
     machines: Vec<Name>,
 }
 
+/// Why a leader that no worker reaches hands over.
+pub const DEAF: &str = "hears no worker";
+
 /// How long the cloud may take to answer.
 const CLOUD_LIMIT: Duration = Duration::from_secs(4);
 
@@ -65,7 +68,7 @@
         while self.lock().epoch < a.stamp {
             smol::Timer::after(Duration::from_millis(20)).await;
         }
-        let asked = crate::node::timed(self.policy.renew, self.ask_learned());
+        let asked = crate::node::timed(self.policy.renew, self.ask_all(true));
         let (pages, _) = futures_util::future::join(self.store.list(key::PAGE), asked).await;
         self.take_over(a, pages?.0, Instant::now());
         Ok(())
@@ -240,21 +243,33 @@
         }
     }
 
-    /// A leader that no worker reaches hands over to one they may reach.
+    /// A leader that no worker reaches hands over to one that they reach: their
+    /// leases run while it listens in vain.  That a sibling hears workers, and
+    /// they do not come on to here, tells it from a world without workers.
     async fn ears(&self) -> &'static str {
+        let mut ears = Ears::default();
         loop {
-            smol::Timer::after(self.policy.fresh / 2).await;
+            smol::Timer::after(self.policy.deaf / 4).await;
+            let last = {
+                let now = Instant::now();
+                let mut i = self.lock();
+                self.beat(&mut i, now);
+                let Some(c) = &i.cluster else { continue };
+                let up = |m: &&Machine| m.gone.is_none() && (m.heard.is_some() || m.stage == Some(Stage::Running));
+                let last = i.heard.unwrap_or(c.began).max(c.began).max(c.awake);
+                if !i.acts(now) || c.machines.values().filter(up).count() < 2 {
+                    continue;
+                }
+                last
+            };
+            if last.elapsed() < self.policy.deaf {
+                continue;
+            }
+            self.ask_all(false).await;
             let now = Instant::now();
-            let i = self.lock();
-            let (Some(c), Some(a)) = (&i.cluster, &i.authority) else { continue };
-            let expected = c
-                .machines
-                .values()
-                .filter(|m| m.gone.is_none() && (m.heard.is_some() || m.stage == Some(crate::cluster::Stage::Running)))
-                .count();
-            let last = c.machines.values().filter_map(|m| m.heard).max().unwrap_or(c.began);
-            if now < a.until && expected >= 2 && now.duration_since(last.max(c.began)) > self.policy.deaf {
-                return "hears no worker";
+            let answered = self.peers.reachable(self.policy.deaf_alone, now);
+            if ears.deaf(last, self.peers.heard(), answered, &self.policy, now) {
+                return DEAF;
             }
         }
     }
@@ -265,6 +280,11 @@
         if !wait.is_zero() {
             smol::Timer::after(wait).await;
         }
+        // the lease may have run out while this waited, or stood still: a
+        // deletion decided then would hit what the next leader has placed
+        if method == "POST" && !self.may_act(Instant::now()) {
+            return Err(http::Error::Bad("leads no more"));
+        }
         self.cloud.send(self.config.services.cloud, method, target, body, CLOUD_LIMIT).await
     }
 
@@ -357,11 +377,12 @@
             }
             due = Instant::now() + Duration::from_millis(500);
             let now = Instant::now();
-            if !self.may_act(now) {
-                continue;
-            }
             let plan = {
                 let mut i = self.lock();
+                self.beat(&mut i, now);
+                if !i.acts(now) {
+                    continue;
+                }
                 let wants = std::mem::take(&mut i.wants);
                 let plan = i.cluster.as_mut().map(|c| c.plan(&wants, now)).unwrap_or_default();
                 i.wants = wants;
--- a/src/node.rs
+++ b/src/node.rs
@@ -61,10 +61,37 @@
     pub wants: Vec<Want>,
     /// When a worker of another zone last reported here.
     pub foreign: Option<Instant>,
+    /// When any worker last reported here.
+    pub heard: Option<Instant>,
+    /// When this controller was last seen to move, and since when it has
+    /// moved without a gap.
+    pub pulse: Option<Pulse>,
     /// No pass over the queue before this.
     pub next_pass: Option<Instant>,
 }
 
+/// Tells when a controller itself stood still while its clocks ran on.
+#[derive(Debug, Clone, Copy)]
+pub struct Pulse {
+    /// It was moving then.
+    pub last: Instant,
+    /// It has been moving without a gap since then.
+    pub since: Instant,
+}
+
+impl Pulse {
+    /// It moves at `now`; how long it stood still before, if it did.
+    pub fn beat(pulse: &mut Option<Pulse>, most: Duration, now: Instant) -> Option<Duration> {
+        let p = pulse.get_or_insert(Pulse { last: now, since: now });
+        let gap = now.saturating_duration_since(p.last);
+        p.last = p.last.max(now);
+        (gap > most).then(|| {
+            p.since = now;
+            gap
+        })
+    }
+}
+
 impl Inner {
     /// Whether this controller leads and its lease still lasts.
     pub fn acts(&self, now: Instant) -> bool {
@@ -174,6 +201,28 @@
         self.inner.lock().unwrap_or_else(|e| e.into_inner())
     }
 
+    /// Every place that is about to judge a silence says first that it moves.
+    /// After a gap the silence was this controller's own: whatever it measures
+    /// starts anew, so that nobody is taken for dead, cut off or refusing who
+    /// merely was not listened to.
+    pub fn beat(&self, i: &mut Inner, now: Instant) {
+        let Some(gap) = Pulse::beat(&mut i.pulse, self.policy.stood_still, now) else { return };
+        log::info!("stood still for {:.1} s: silences are measured anew", gap.as_secs_f64());
+        self.store.woke(now);
+        self.peers.woke();
+        if let Some(c) = i.cluster.as_mut() {
+            c.awake = now;
+        }
+    }
+
+    /// Keeps the pulse while nothing else happens.
+    pub async fn pulse(&self) {
+        loop {
+            smol::Timer::after(self.policy.renew / 2).await;
+            self.beat(&mut self.lock(), Instant::now());
+        }
+    }
+
     /// The teams' limits.
     pub fn teams(&self) -> HashMap<Name, TeamLimit> {
         let team = |t: &crate::config::Team| {
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -64,6 +64,8 @@
     at: Instant,
     served: bool,
     term: u64,
+    /// When a worker last reported there.
+    heard: Option<Instant>,
 }
 
 struct Link {
@@ -212,6 +214,16 @@
         lately.peek().is_some() && lately.all(|s| !s.served && s.term <= term)
     }
 
+    /// This controller stood still: what it knew of the siblings is old.
+    pub fn woke(&self) {
+        lock(&self.seen).clear();
+    }
+
+    /// When a worker last reported to any sibling, as far as they told.
+    pub fn heard(&self) -> Option<Instant> {
+        lock(&self.seen).values().filter_map(|s| s.heard).max()
+    }
+
     /// Whether there are siblings, and some answered lately.
     pub fn reachable(&self, fresh: Duration, now: Instant) -> bool {
         lock(&self.seen).values().any(|s| now.duration_since(s.at) < fresh)
@@ -225,7 +237,9 @@
         let answer =
             self.peers.call(l, limit, |mut c| async move { c.status(wire::StatusRequest { progress }).await }).await;
         let Some(s) = answer else { return };
-        let seen = Seen { at: Instant::now(), served: s.served, term: s.term };
+        let now = Instant::now();
+        let heard = s.heard_ms.and_then(|ms| now.checked_sub(Duration::from_millis(ms)));
+        let seen = Seen { at: now, served: s.served, term: s.term, heard };
         lock(&self.peers.seen).insert(l.name.clone(), seen);
         if progress {
             if !s.machines.is_empty() {
@@ -252,9 +266,10 @@
         }
     }
 
-    /// Asks the siblings what a forerunner had learned of machines.
-    pub async fn ask_learned(&self) {
-        futures_util::future::join_all(self.peers.links.iter().map(|l| self.ask(l, true))).await;
+    /// Asks all siblings how they stand, or also what a forerunner had learned
+    /// of machines.
+    pub async fn ask_all(&self, learned: bool) {
+        futures_util::future::join_all(self.peers.links.iter().map(|l| self.ask(l, learned))).await;
     }
 
     /// Has a sibling answer a user's request.
@@ -356,8 +371,12 @@
         };
         let leads = self.0.may_act(Instant::now());
         let served = !self.0.store.failing();
-        let term = self.0.lock().leader.as_ref().map_or(0, |l| l.record.term);
-        Ok(tonic::Response::new(wire::StatusResponse { served, term, leads, jobs, machines, images }))
+        let (term, heard) = {
+            let i = self.0.lock();
+            (i.leader.as_ref().map_or(0, |l| l.record.term), i.heard)
+        };
+        let heard_ms = heard.map(|t| t.elapsed().as_millis() as u64);
+        Ok(tonic::Response::new(wire::StatusResponse { served, term, leads, jobs, machines, images, heard_ms }))
     }
 }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -99,8 +99,12 @@
     fresh: Duration as Duration, 0.1 ..= 3600.0;
     /// A machine silent for so long is returned, and its tasks replaced.
     silent: Duration as Duration, 0.1 ..= 3600.0;
-    /// A leader that hears no worker for so long hands over.
+    /// A leader that hears no worker for so long asks whether siblings do.
     deaf: Duration as Duration, 0.1 ..= 3600.0;
+    /// … and hands over after so long if no sibling answers.
+    deaf_alone: Duration as Duration, 0.1 ..= 3600.0;
+    /// Between two signs of life of a controller: more, and it stood still.
+    stood_still: Duration as Duration, 0.1 ..= 600.0;
     /// Share of the machines that may be silent before silence is taken for
     /// the network's.
     silent_share: f64 as f64, 0.0 ..= 1.0;
@@ -195,7 +199,8 @@
     ("missed > workers.report_s * 1.3", "a report may be late by a quarter"),
     ("fresh < silent", "a machine is avoided before it is given up"),
     ("silent < workers.lease_s", "tasks of a silent machine are replaced before they kill themselves"),
-    ("deaf > workers.report_s", "one report interval of quiet is ordinary"),
+    ("deaf_alone > workers.report_s", "one report interval of quiet is ordinary"),
+    ("stood_still > renew", "the pulse beats twice between renewals"),
     ("cut_after < workers.lease_s / 2", "a zone's leases must not run out before they are renewed"),
     ("commit_wait < workers.report_s", "an answer must not outlast the report interval"),
     ("cancel <= workers.cancel_s", "the rules say when cancelled tasks are gone"),
--- a/src/store.rs
+++ b/src/store.rs
@@ -316,6 +316,14 @@
         self.silent.load(Ordering::Relaxed)
     }
 
+    /// This controller stood still: that nothing was carried out meanwhile says
+    /// nothing of the service.
+    pub fn woke(&self, now: Instant) {
+        *self.last_served.lock().unwrap_or_else(|e| e.into_inner()) = now;
+        self.failing.store(false, Ordering::Relaxed);
+        self.silent.store(false, Ordering::Relaxed);
+    }
+
     /// When the state service last carried out something for us.
     pub fn last_served(&self) -> Instant {
         *self.last_served.lock().unwrap_or_else(|e| e.into_inner())
@@ -328,10 +336,15 @@
         body: Option<&[u8]>,
         limit: Duration,
     ) -> Result<(u16, Vec<u8>), Error> {
+        let began = Instant::now();
         let sent = self.http.send(self.addr, method, target, body, limit).await;
-        // 429 is a matter of pace: the service is there
-        self.failing.store(!matches!(sent, Ok((..500, _))), Ordering::Relaxed);
-        self.silent.store(sent.is_err(), Ordering::Relaxed);
+        // a deadline that passed long ago passed while this controller stood
+        // still: no failure of the service
+        if sent.is_ok() || began.elapsed() < limit * 2 {
+            // 429 is a matter of pace: the service is there
+            self.failing.store(!matches!(sent, Ok((..500, _))), Ordering::Relaxed);
+            self.silent.store(sent.is_err(), Ordering::Relaxed);
+        }
         let (status, body) = sent?;
         match status {
             429 | 500.. => Err(Error::Refused(status)),
