Broken jobs are told from sick machines: single probes, no resting machines

Change: a job that fails on more sound machines than it runs on, and none of whose tasks completed, is probed one task at a time, further and further apart; its machines are cleared, its fetches stopped, nothing is rented, held or stopped for it, and it counts in load and dry run only as its probe.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -263,8 +263,8 @@
     pub attempt: u64,
     /// Machines where a task of it failed.
     pub failed_on: BTreeSet<Name>,
-    /// Failures in a row.
-    pub failures: u32,
+    /// Since when it has been taken for broken, and what its probes came to.
+    pub suspect: Option<Suspect>,
     /// Not placed before this.
     pub wait_until: Option<Instant>,
     /// When this leader first knew of it.
@@ -289,7 +289,7 @@
             places: BTreeMap::new(),
             attempt: 0,
             failed_on: BTreeSet::new(),
-            failures: 0,
+            suspect: None,
             wait_until: None,
             known: now,
             guaranteed: false,
@@ -297,6 +297,22 @@
         }
     }
 
+    /// A task of it completed, so that it is no mistake.
+    pub fn proven(&self) -> bool {
+        !self.done.is_empty() || !self.finishing.is_empty()
+    }
+
+    /// How many of its waiting tasks count: for the load, the dry run and the
+    /// fleet.  Of a job that seems broken, a probe at a time; a gang has no
+    /// smaller probe than itself.
+    pub fn waiting(&self) -> u32 {
+        let waiting = self.todo.len();
+        match self.suspect {
+            Some(_) if self.spec.shape != Shape::Gang => waiting.min(u32::from(self.places.is_empty())),
+            _ => waiting,
+        }
+    }
+
     /// All its tasks completed, but its end is not stored.
     pub fn completing(&self) -> bool {
         self.fate.is_none()
@@ -323,6 +339,17 @@
     }
 }
 
+/// A job that seems to be broken: submitted with a mistake, it fails on every
+/// machine until its user withdraws it.
+#[derive(Debug, Clone, Copy)]
+pub struct Suspect {
+    /// When the last probe was free to start: failures of what had been
+    /// started before say nothing new.
+    pub since: Instant,
+    /// Probes that failed.
+    pub probes: u32,
+}
+
 /// What was learned of a machine; a hint for the next leader.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Learned {
@@ -576,7 +603,7 @@
             }
         }
         self.finished.insert(task.job.clone());
-        job.failures = 0;
+        job.suspect = None;
         job.wait_until = None;
         // a copy that may be elsewhere is of no use any more; but tasks of a
         // completed gang end by themselves at the same moment
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -171,7 +171,7 @@
         let (mut all, mut used) = (Size::default(), Size::default());
         let mut usage = self.usage();
         for j in self.jobs.values().filter(|j| j.fate.is_none()) {
-            let waits = j.spec.size().times(f64::from(j.todo.len()));
+            let waits = j.spec.size().times(f64::from(j.waiting()));
             usage.entry(j.spec.team.clone()).or_default().give(&waits);
         }
         for (name, t) in self.teams.iter().filter(|(_, t)| t.guarantee.cpus > 0.0 || t.guarantee.gpus > 0.0) {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -90,6 +90,11 @@
                 _ => self.place_each(&ask, &mut pass, later, &mut out),
             };
             let Some((count, zones)) = blocked else { continue };
+            if job.suspect.is_some() {
+                // nobody gives way to a probe, nothing is held or rented for it
+                out.whys.push((job.spec.id.clone(), "its tasks fail everywhere"));
+                continue;
+            }
             // no room: hold what is being freed, or make room
             let most = match job.spec.shape {
                 Shape::Array => count.min(self.policy.dry_run_tasks as u32 / 4),
@@ -130,7 +135,7 @@
     /// The queue: production and work within its team's guarantee first, by
     /// rank, then as it arrived.
     fn ordered_queue(&self, now: Instant) -> Vec<&Job> {
-        let waits = |j: &&Job| j.fate.is_none() && !j.todo.is_empty() && j.wait_until.is_none_or(|t| t <= now);
+        let waits = |j: &&Job| j.fate.is_none() && j.waiting() > 0 && j.wait_until.is_none_or(|t| t <= now);
         let mut q: Vec<(f64, &Job)> = self.jobs.values().filter(waits).map(|j| (self.arrival(j), j)).collect();
         q.sort_by(|(at, a), (bt, b)| {
             (turn(a).cmp(&turn(b))).then(at.total_cmp(bt)).then((a.stamp, &a.spec.id).cmp(&(b.stamp, &b.spec.id)))
@@ -179,7 +184,7 @@
         let aim = self.wait_aim(job);
         let mut tasks: Vec<(u32, Name)> = Vec::new();
         let mut blocked = false;
-        for index in job.todo.iter() {
+        for index in job.todo.iter().take(job.waiting() as usize) {
             if !pass.allows(ask, 1) {
                 out.whys.push((job.spec.id.clone(), "its team is at its limit"));
                 break;
@@ -191,7 +196,7 @@
             // fetching the image would make it late: rather take room, if that
             // may be, where the image is
             let wait = pass.image_wait(ask, slot).0;
-            if aim.is_some_and(|aim| wait > aim) {
+            if job.suspect.is_none() && aim.is_some_and(|aim| wait > aim) {
                 let limits = (aim.unwrap_or(wait), wait);
                 if self.hold_or_preempt(ask, 1, &zones, pass, limits, out) == 1 {
                     continue;
@@ -261,7 +266,7 @@
             }
         }
         let Some((slowest, picks)) = best else { return Some((n, present)) };
-        if let Some(aim) = self.wait_aim(job).filter(|a| slowest > *a) {
+        if let Some(aim) = self.wait_aim(job).filter(|a| job.suspect.is_none() && slowest > *a) {
             if self.hold_or_preempt(ask, n, &present, pass, (aim, slowest), out) == n {
                 return None;
             }
@@ -364,7 +369,7 @@
     let mut runs: Vec<(Size, usize)> = Vec::new();
     let mut left = most;
     for (i, j) in queue.iter().enumerate() {
-        let n = (j.todo.len() as usize).saturating_sub(usize::from(i == 0)).min(left);
+        let n = (j.waiting() as usize).saturating_sub(usize::from(i == 0)).min(left);
         if n > 0 {
             runs.push((j.spec.size(), n));
         }
--- a/src/placement/pass.rs
+++ b/src/placement/pass.rs
@@ -110,7 +110,7 @@
             used: if c.has_limits() { c.usage() } else { HashMap::new() },
             variance: variance(slots.iter().map(|s| s.m.speed)),
             free_cpus: slots.iter().map(|s| s.free.cpus.max(0.0)).sum(),
-            waiting: queue.iter().map(|j| j.spec.cpus * f64::from(j.todo.len())).sum(),
+            waiting: queue.iter().map(|j| j.spec.cpus * f64::from(j.waiting())).sum(),
             images: HashMap::new(),
             waits: Vec::new(),
             stopped: HashSet::new(),
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -7,11 +7,12 @@
 //! and until a report shows a higher token, absence proves nothing there and
 //! nothing is reaped.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
-use crate::cluster::{Cluster, Machine, Phase, Place};
+use crate::cluster::{Cluster, Machine, Phase, Place, Suspect};
 use crate::model::*;
 
 /// A task as its worker reports it.
@@ -178,6 +179,11 @@
     pub body: DirectBody,
 }
 
+/// Why a machine that fails the tasks of several jobs is drained.
+const FAILS: &str = "fails its tasks";
+/// Probes of a broken job after which their distance doubles no more.
+const MOST_BACKOFF: u32 = 5;
+
 /// Most commands in one answer; the rest follows with the next report.
 const MOST_COMMANDS: usize = 400;
 
@@ -439,9 +445,9 @@
                 self.stir = true;
                 return;
             }
-            if known {
+            if let Some(since) = m.tasks.get(&t.task).filter(|_| known).map(|p| p.since) {
                 self.vacate(&r.machine, &t.task, now);
-                self.ended(&r.machine, &t.task, cause, over, now);
+                self.ended(&r.machine, &t.task, cause, over, since, now);
             }
             if let Some(m) = self.machines.get_mut(&r.machine) {
                 m.exited.insert(t.task.clone(), t.attempt);
@@ -489,6 +495,14 @@
             p.halt_since.get_or_insert(now);
             self.tell.insert(r.machine.clone());
         }
+        // what fails everywhere does not run for long
+        let proof = self.policy.failure_rest;
+        if phase == Phase::Running && p.halt.is_none() && p.running_since.is_some_and(|t| now.duration_since(t) > proof)
+        {
+            if let Some(j) = self.jobs.get_mut(&t.task.job).filter(|j| j.suspect.is_some()) {
+                (j.suspect, j.wait_until) = (None, None);
+            }
+        }
         if phase == Phase::Running && p.running_since.is_none() {
             p.running_since = Some(now);
             log::debug!(
@@ -502,45 +516,97 @@
         }
     }
 
-    /// A task ended without completing.
-    fn ended(&mut self, machine: &Name, task: &Task, cause: Cause, over: bool, now: Instant) {
+    /// A task that was placed at `since` ended without completing.
+    fn ended(&mut self, machine: &Name, task: &Task, cause: Cause, over: bool, since: Instant, now: Instant) {
         let rest = self.policy.failure_rest;
         if !matches!(cause, Cause::Stopped) {
-            log::info!("{task} on {machine} ended: {cause:?}");
+            log::debug!("{task} on {machine} ended: {cause:?}");
         }
         if over {
             return;
         }
+        if cause == Cause::Error {
+            return self.failed(machine, &task.job, since, now);
+        }
         let (Some(m), Some(job)) = (self.machines.get_mut(machine), self.jobs.get_mut(&task.job)) else { return };
         match cause {
-            Cause::Error => {
-                let first = job.failed_on.is_empty();
-                job.failed_on.insert(machine.clone());
-                job.failures += 1;
-                // a faulty machine fails tasks of many jobs, a faulty job
-                // fails on many machines: blame whichever repeats
-                if first || job.failed_on.len() == 1 {
-                    m.blamed.insert(task.job.clone());
+            Cause::NoRoom | Cause::Busy => m.rest_until = Some(now + rest),
+            Cause::NoSuch | Cause::Unknown => job.wait_until = Some(now + rest),
+            Cause::Error | Cause::Done | Cause::Stopped | Cause::MatesGone | Cause::Alone => {}
+        }
+    }
+
+    /// A task failed.  A faulty machine fails the tasks of many jobs, a faulty
+    /// job fails on many machines: blame whichever repeats.  A job is taken for
+    /// broken while none of its tasks has completed, once it has failed on
+    /// several machines that fail nothing else: on more than it runs on, those
+    /// that have yet to show counted by a quarter.  Then its machines are
+    /// cleared of the blame, what of it still waits for its image is stopped,
+    /// and single probes follow further and further apart.
+    fn failed(&mut self, machine: &Name, id: &Name, since: Instant, now: Instant) {
+        let rest = self.policy.failure_rest;
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.failed_on.insert(machine.clone());
+        let sound = |n: &&Name| {
+            let m = self.machines.get(*n);
+            m.is_some_and(|m| m.drain.is_none() && m.blamed.iter().all(|j| j == id))
+        };
+        let evidence = job.failed_on.iter().filter(sound).count();
+        let place = |(n, t): &(Name, Task)| self.machines.get(n).and_then(|m| m.tasks.get(t));
+        let placed = job.placed();
+        let mut others: BTreeMap<&Name, bool> = BTreeMap::new();
+        for p in placed.iter().filter(|p| !job.failed_on.contains(&p.0)) {
+            *others.entry(&p.0).or_default() |= place(p).is_some_and(|p| p.running_since.is_some());
+        }
+        let runs = others.values().filter(|r| **r).count();
+        let against = runs + (others.len() - runs) / 4;
+        let proven = job.proven();
+        match &mut job.suspect {
+            Some(s) if since >= s.since => {
+                s.probes += 1;
+                s.since = now + rest * 2u32.pow(s.probes.min(MOST_BACKOFF)) / 2;
+                job.wait_until = Some(s.since);
+                log::info!("{id} fails again: next probe in {:.0} s", (s.since - now).as_secs_f64());
+            }
+            Some(_) => {}
+            None if !proven && evidence >= 2 && evidence > against => {
+                log::info!("{id} fails on {evidence} machines: taken for broken, probed one task at a time");
+                job.suspect = Some(Suspect { since: now, probes: 0 });
+                let fetches = |p: &Place| matches!(p.phase, Phase::Ordered | Phase::Pulling);
+                let wait: Vec<_> = placed.iter().filter(|p| place(p).is_some_and(fetches)).cloned().collect();
+                for n in job.failed_on.clone() {
+                    self.acquit(&n, id);
+                }
+                for (m, t) in wait {
+                    self.halt(&m, &t, 0.0, now);
                 }
+                return;
+            }
+            None => {
+                let Some(m) = self.machines.get_mut(machine) else { return };
+                m.blamed.insert(id.clone());
                 m.rest_until = Some(now + rest * 2);
-                if job.failed_on.len() > 1 {
-                    let tries = job.failures.min(8);
-                    job.wait_until = Some(now + rest * 2u32.pow(tries) / 2);
-                    let all: Vec<Name> = job.failed_on.iter().cloned().collect();
-                    for n in all {
-                        if let Some(m) = self.machines.get_mut(&n) {
-                            m.blamed.remove(&task.job);
-                        }
-                    }
-                } else if m.blamed.len() >= 2 {
+                if m.blamed.len() >= 2 && m.drain.is_none() {
                     log::info!("machine {machine} fails tasks of {} jobs: drained", m.blamed.len());
-                    m.drain = Some("fails its tasks");
+                    m.drain = Some(FAILS);
                 }
+                return;
             }
-            Cause::NoRoom | Cause::Busy => m.rest_until = Some(now + rest),
-            Cause::NoSuch | Cause::Unknown => job.wait_until = Some(now + rest),
-            Cause::Done | Cause::Stopped | Cause::MatesGone | Cause::Alone => {}
         }
+        self.acquit(machine, id);
+    }
+
+    /// A machine is not to blame for a broken job's failures.
+    fn acquit(&mut self, machine: &Name, id: &Name) {
+        let Some(m) = self.machines.get_mut(machine) else { return };
+        m.blamed.remove(id);
+        if m.blamed.is_empty() {
+            m.rest_until = None;
+        }
+        if m.drain == Some(FAILS) && m.blamed.len() < 2 {
+            m.drain = None;
+        }
+        self.stir = true;
     }
 
     /// A completed task tells of its machine's speed.  Only completed tasks
@@ -575,3 +641,150 @@
     let over = p.halt_since.is_some_and(|t| now.duration_since(t).as_secs_f64() > grace.max(p.spec.save_s) * 3.0 + 5.0);
     (grace == 0.0 || over).then_some(0.0)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::sim::{cluster, spec};
+
+    const RUNNING: (TaskState, Option<Cause>) = (TaskState::Running, None);
+    const FAILED: (TaskState, Option<Cause>) = (TaskState::Ended, Some(Cause::Error));
+    const DONE: (TaskState, Option<Cause>) = (TaskState::Ended, Some(Cause::Done));
+
+    /// Machines that report, and what the leader makes of it.
+    struct Floor {
+        c: Cluster,
+        tally: u64,
+        now: Instant,
+    }
+
+    impl Floor {
+        /// So many machines, of eight cores each.
+        fn new(machines: usize) -> Floor {
+            let now = Instant::now();
+            let mut f = Floor { c: cluster(1, now), tally: 0, now };
+            for i in 0..machines {
+                f.reports(i, &[]);
+            }
+            f
+        }
+
+        fn reports(&mut self, machine: usize, tasks: &[(Task, u64, (TaskState, Option<Cause>))]) {
+            self.tally += 1;
+            let task = |(task, attempt, (state, cause)): &(Task, u64, _)| Reported {
+                task: task.clone(),
+                attempt: *attempt,
+                state: *state,
+                cause: *cause,
+                saved: None,
+            };
+            let r = Report {
+                machine: format!("i-{machine:04}").into(),
+                address: "127.0.0.1:9".into(),
+                kind: "t".into(),
+                zone: format!("z{}", machine % 3).into(),
+                spot: false,
+                session: 1,
+                tally: self.tally,
+                token: self.c.token(),
+                notice_s: None,
+                tasks: tasks.iter().map(task).collect(),
+            };
+            assert_eq!(self.c.report(&r, true, self.now), Some(true));
+        }
+
+        /// Time passes, and all that was placed is told as `state` says.
+        fn all_tell(&mut self, state: impl Fn(usize, &str) -> (TaskState, Option<Cause>)) {
+            self.now += Duration::from_millis(500);
+            for i in 0..self.c.machines.len() {
+                let m = &self.c.machines[format!("i-{i:04}").as_str()];
+                let tasks: Vec<_> = m.tasks.iter().map(|(t, p)| (t.clone(), p.attempt, state(i, &t.job))).collect();
+                self.reports(i, &tasks);
+            }
+        }
+
+        fn on(&self, job: &str) -> usize {
+            self.c.jobs[job].places.len()
+        }
+
+        fn machine(&self, i: usize) -> &Machine {
+            &self.c.machines[format!("i-{i:04}").as_str()]
+        }
+    }
+
+    /// A job submitted with a mistake costs single probes, further and further
+    /// apart, and neither machines nor rentals nor anybody's turn.
+    #[test]
+    fn a_broken_job_is_probed_and_nothing_more() {
+        let mut f = Floor::new(6);
+        f.c.add_job(spec("j-000001", 100), 1, None, f.now);
+        f.c.place(f.now);
+        assert_eq!(f.on("j-000001"), 48);
+        f.all_tell(|_, _| FAILED);
+        assert!(f.c.jobs["j-000001"].suspect.is_some());
+        assert!((0..6).all(|i| f.machine(i).usable(f.now, &f.c.policy)), "a machine is blamed");
+        let mut apart = Vec::new();
+        for _ in 0..5 {
+            assert!(f.c.place(f.now).is_empty(), "a machine is rented for what only waits to fail");
+            assert_eq!(f.on("j-000001"), 1, "more than a probe");
+            f.all_tell(|_, _| FAILED);
+            assert!(f.c.place(f.now).is_empty() && f.on("j-000001") == 0);
+            let due = f.c.jobs["j-000001"].wait_until.expect("a rest");
+            apart.push(due - f.now);
+            f.now = due;
+            f.all_tell(|_, _| FAILED);
+        }
+        assert!(apart.windows(2).all(|w| w[1] >= w[0] * 3 / 2), "{apart:?}");
+        // its first success ends all that
+        f.c.place(f.now);
+        f.all_tell(|_, _| DONE);
+        f.c.place(f.now);
+        assert!(f.c.jobs["j-000001"].suspect.is_none() && f.on("j-000001") > 40);
+    }
+
+    /// Sick machines fail some tasks of a good job: the machines are blamed.
+    #[test]
+    fn sick_machines_do_not_brand_a_job() {
+        let mut f = Floor::new(12);
+        for (n, id) in ["j-000001", "j-000002"].into_iter().enumerate() {
+            f.c.add_job(spec(id, 48), n as u64 + 1, None, f.now);
+            for index in 0..48u32 {
+                let attempt = f.c.new_attempt();
+                let m: Name = format!("i-{:04}", index % 12).into();
+                assert!(f.c.assign(&Task { job: id.into(), index }, &m, attempt, f.now));
+            }
+        }
+        f.all_tell(|i, _| if i < 2 { FAILED } else { RUNNING });
+        assert!(f.c.jobs.values().all(|j| j.suspect.is_none()));
+        f.c.place(f.now);
+        f.now += f.c.policy.failure_rest * 3;
+        f.all_tell(|i, _| if i < 2 { FAILED } else { RUNNING });
+        let blamed = |i: usize| f.machine(i).drain.is_some() || f.machine(i).rest_until.is_some();
+        assert!(blamed(0) && blamed(1) && !(2..12).any(blamed));
+    }
+
+    /// A sick machine among those that a broken job fails on is found by the
+    /// good jobs that fail there, and only it is drained.
+    #[test]
+    fn a_sick_machine_with_a_broken_job_is_told_apart() {
+        let mut f = Floor::new(6);
+        for (n, id) in ["j-000001", "j-000002", "j-000003"].into_iter().enumerate() {
+            let mut s = (*spec(id, 12)).clone();
+            s.cpus = 1.0;
+            f.c.add_job(s.into(), n as u64 + 1, None, f.now);
+        }
+        // all three on every machine
+        for (n, id) in ["j-000001", "j-000002", "j-000003"].into_iter().enumerate() {
+            for index in 0..12u32 {
+                let attempt = f.c.new_attempt();
+                let m: Name = format!("i-{:04}", (index as usize + n) % 6).into();
+                assert!(f.c.assign(&Task { job: id.into(), index }, &m, attempt, f.now));
+            }
+        }
+        f.all_tell(|i, job| if i == 0 || job == "j-000001" { FAILED } else { RUNNING });
+        assert!(f.c.jobs["j-000001"].suspect.is_some());
+        assert!(f.c.jobs["j-000002"].suspect.is_none() && f.c.jobs["j-000003"].suspect.is_none());
+        assert_eq!(f.machine(0).drain, Some(FAILS));
+        assert!((1..6).all(|i| f.machine(i).usable(f.now, &f.c.policy)));
+    }
+}
