--- a/src/workers.rs
+++ b/src/workers.rs
@@ -647,9 +647,12 @@
     use super::*;
     use crate::sim::{cluster, spec};
 
-    const RUNNING: (TaskState, Option<Cause>) = (TaskState::Running, None);
-    const FAILED: (TaskState, Option<Cause>) = (TaskState::Ended, Some(Cause::Error));
-    const DONE: (TaskState, Option<Cause>) = (TaskState::Ended, Some(Cause::Done));
+    const RUNNING: Told = (TaskState::Running, None);
+    const FAILED: Told = (TaskState::Ended, Some(Cause::Error));
+    const DONE: Told = (TaskState::Ended, Some(Cause::Done));
+
+    /// State and cause, as reported.
+    type Told = (TaskState, Option<Cause>);
 
     /// Machines that report, and what the leader makes of it.
     struct Floor {
@@ -669,7 +672,7 @@
             f
         }
 
-        fn reports(&mut self, machine: usize, tasks: &[(Task, u64, (TaskState, Option<Cause>))]) {
+        fn reports(&mut self, machine: usize, tasks: &[(Task, u64, Told)]) {
             self.tally += 1;
             let task = |(task, attempt, (state, cause)): &(Task, u64, _)| Reported {
                 task: task.clone(),
@@ -694,7 +697,7 @@
         }
 
         /// Time passes, and all that was placed is told as `state` says.
-        fn all_tell(&mut self, state: impl Fn(usize, &str) -> (TaskState, Option<Cause>)) {
+        fn all_tell(&mut self, state: impl Fn(usize, &str) -> Told) {
             self.now += Duration::from_millis(500);
             for i in 0..self.c.machines.len() {
                 let m = &self.c.machines[format!("i-{i:04}").as_str()];
