Speeds are held against the same job's other tasks: the switch sees real variance

Cause: debug logs showed variances of 0.6 to 0.75 in fleets whose machines differ by a tenth, so that the paper's switch always read high heterogeneity. A machine's speed was a task's run time against its owner's estimate, and estimates are off by far more than machines differ. Change: run time against the mean of the job's other tasks, from the fifth task on, with a prior of four tasks at the usual speed.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -263,6 +263,8 @@
     pub attempt: u64,
     /// Machines where a task of it failed.
     pub failed_on: BTreeSet<Name>,
+    /// How long its completed tasks ran, on average, and how many they are.
+    pub ran: (f64, u32),
     /// Since when it has been taken for broken, and what its probes came to.
     pub suspect: Option<Suspect>,
     /// Not placed before this.
@@ -289,6 +291,7 @@
             places: BTreeMap::new(),
             attempt: 0,
             failed_on: BTreeSet::new(),
+            ran: (0.0, 0),
             suspect: None,
             wait_until: None,
             known: now,
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -181,6 +181,8 @@
 
 /// Why a machine that fails the tasks of several jobs is drained.
 const FAILS: &str = "fails its tasks";
+/// Tasks of a job, and tasks on a machine, below which they say nothing.
+const SPEED_PRIOR: u32 = 4;
 /// Probes of a broken job after which their distance doubles no more.
 const MOST_BACKOFF: u32 = 5;
 
@@ -626,12 +628,18 @@
         }
         let ratio = (ran / p.spec.estimate_s).clamp(0.05, 20.0);
         let bias = self.bias.entry(p.spec.class.clone()).or_insert(ratio);
-        let relative = (*bias / ratio).clamp(0.1, 10.0);
         *bias += (ratio - *bias) * 0.1;
-        if let Some(m) = self.machines.get_mut(machine) {
+        // a machine is held against the tasks of the same job on others: what
+        // owners estimate is off by more than machines differ
+        let (Some(job), Some(m)) = (self.jobs.get_mut(&p.spec.id), self.machines.get_mut(machine)) else { return };
+        let (mean, n) = job.ran;
+        job.ran = (mean + (ran - mean) / f64::from(n + 1), n + 1);
+        if n >= SPEED_PRIOR {
+            // so many tasks at the usual speed are taken for granted, or a
+            // machine's first task would say more than all that it is
+            let relative = (mean / ran).clamp(0.1, 10.0);
             m.samples += 1;
-            let weight = (1.0 / f64::from(m.samples + 1)).max(0.1);
-            m.speed += (relative - m.speed) * weight;
+            m.speed += (relative - m.speed) * (1.0 / f64::from(SPEED_PRIOR + m.samples)).max(0.02);
         }
     }
 }
