The seeded world learns freezes, deafness, old lists, broken jobs and tiny tasks

A controller may stand still between any check and the sends that follow, with all that is sent to it waiting; it may lose the workers alone; the cloud's list may be any of the last ten seconds; one job of twelve fails everywhere; arrays of dozens of quarter cores come. The checker is shown to see three more weakened guards: reports ordered by the hour of reading, absence from a list as proof, and authority of before a freeze with unguarded writes. The world is split by duty into src/sim/.

--- /dev/null
+++ b/src/sim/controllers.rs
@@ -0,0 +1,354 @@
+//! Three controllers: election, steps, and what reaches them.  Their decisions
+//! are the program's own.
+
+use super::*;
+
+pub(super) struct Controller {
+    pub(super) until: Ms,
+    pub(super) stamp: u64,
+    pub(super) cluster: Cluster,
+    pub(super) flying: bool,
+    /// Life number: messages to a former life are dropped.
+    pub(super) life: u64,
+    pub(super) wants: Vec<crate::placement::Want>,
+}
+
+impl World {
+    pub(super) fn elect(&mut self) {
+        if self.store.lease.is_some_and(|(_, until)| until > self.now) || self.now < self.outage {
+            return;
+        }
+        // one that is deaf stands down while others can lead
+        let can = |i: &usize| {
+            self.down_until[*i] <= self.now && self.no_renewal[*i] <= self.now && self.frozen[*i] <= self.now
+        };
+        let mut up: Vec<usize> = (0..3).filter(can).collect();
+        if up.iter().any(|i| self.deaf[*i] <= self.now) {
+            up.retain(|i| self.deaf[*i] <= self.now);
+        }
+        if up.is_empty() {
+            return;
+        }
+        let who = up[self.rng.usize(0..up.len())];
+        self.term += 1;
+        let ttl = self.policy.ttl.as_millis() as Ms;
+        self.store.lease = Some((who, self.now + ttl));
+        let mut txn = Txn::default();
+        txn.writes.push(Write::set(key::LEADER, &self.term));
+        let stamp = self.store.apply(&txn).expect("unguarded");
+        let at = self.at(self.now);
+        let mut c = Cluster::new(self.term, self.policy.clone(), self.teams.clone(), at);
+        c.set_types(&[machine_type("t")]);
+        for (spec, stamp) in self.jobs.values() {
+            c.add_job(spec.clone(), *stamp, self.store.fate(&spec.id), at);
+        }
+        for (path, (data, stamp)) in self.store.kv.iter().filter(|(p, _)| p.starts_with(key::PAGE)) {
+            let item = Item { path: path.clone(), data: data.clone(), stamp: *stamp };
+            let (id, page, machines) = read_page(path, &item).expect("own page");
+            c.add_page(id, page, &machines, at);
+        }
+        c.list(&self.some_list(), at);
+        self.lives += 1;
+        // an earlier leader goes on believing in itself until its time is up
+        self.controllers[who] = Some(Controller {
+            until: self.now + ttl,
+            stamp,
+            cluster: c,
+            flying: false,
+            life: self.lives,
+            wants: vec![],
+        });
+    }
+
+    /// A list of the cloud's, of now or of some seconds ago.
+    pub(super) fn some_list(&mut self) -> Vec<Listed> {
+        let now: Vec<Listed> = self.workers.iter().filter(|w| w.alive).map(listed).collect();
+        match self.lists.len() {
+            0 => now,
+            n => self.lists[self.rng.usize(0..n)].clone(),
+        }
+    }
+
+    pub(super) fn controllers_step(&mut self) {
+        if self.now.is_multiple_of(1000) {
+            self.lists.push(self.workers.iter().filter(|w| w.alive).map(listed).collect());
+            if self.lists.len() > 10 {
+                self.lists.remove(0);
+            }
+        }
+        self.elect();
+        let ttl = self.policy.ttl.as_millis() as Ms;
+        for i in 0..3 {
+            let now = self.at(self.now);
+            if self.now < self.frozen[i] {
+                continue;
+            }
+            let Some(mut c) = self.controllers[i].take() else { continue };
+            if let Some((_, gap)) = self.freezes.filter(|f| f.0 == i) {
+                // from here on nothing leaves before it wakes
+                self.freezes = None;
+                self.frozen[i] = self.now + gap;
+                if self.sabotage == Sabotage::OldAuthority {
+                    c.until += gap;
+                }
+            } else if self.frozen[i] > 0 {
+                self.frozen[i] = 0;
+                c.cluster.awake = now;
+            }
+            let believes = self.sabotage == Sabotage::OldAuthority && self.now < c.until;
+            if self.now < self.deaf[i] && self.deaf[i] - self.now < 8_000 && self.now >= self.no_renewal[i] {
+                // it has asked its siblings, and hands over
+                if self.store.lease.is_some_and(|(w, _)| w == i) {
+                    self.store.lease = None;
+                }
+                continue;
+            }
+            let holds = self.store.lease.is_some_and(|(w, until)| w == i && until > self.now)
+                && self.store.stamp(key::LEADER) == c.stamp;
+            let reaches = self.now >= self.outage && self.now >= self.no_renewal[i];
+            if reaches && !holds && !believes {
+                continue; // its lease is gone, and it hears of it
+            }
+            if holds && self.now < self.outage {
+                // after an outage every lease has its full time again
+                self.store.lease = Some((i, self.outage + ttl));
+            }
+            if reaches && holds && self.now.is_multiple_of(500) {
+                self.store.lease = Some((i, self.now + ttl));
+                c.until = self.now + ttl;
+            }
+            let acts = self.now < c.until;
+            if acts && self.now.is_multiple_of(500) {
+                c.wants = c.cluster.place(now);
+                c.cluster.tidy(now);
+                if self.now.is_multiple_of(2000) {
+                    let list = self.some_list();
+                    c.cluster.list(&list, now);
+                    if self.sabotage == Sabotage::ListIsProof {
+                        let has = |n: &Name| list.iter().any(|l| l.name == *n);
+                        let gone: Vec<Name> = c.cluster.machines.keys().filter(|n| !has(n)).cloned().collect();
+                        for n in gone {
+                            c.cluster.vacate_all(&n, now);
+                        }
+                    }
+                    let plan = c.cluster.plan(&c.wants, now);
+                    if !plan.delete.is_empty() {
+                        self.send(Message::Delete { names: plan.delete, from: i, life: c.life });
+                    }
+                }
+                if self.sabotage == Sabotage::SilenceIsProof {
+                    let quiet =
+                        |m: &&crate::cluster::Machine| m.heard.is_some_and(|t| now.duration_since(t).as_secs() >= 5);
+                    let quiet: Vec<Name> = c.cluster.machines.values().filter(quiet).map(|m| m.name.clone()).collect();
+                    for n in quiet {
+                        c.cluster.vacate_all(&n, now);
+                    }
+                }
+                if self.sabotage == Sabotage::UnstoredStarts {
+                    for p in c.cluster.machines.values_mut().flat_map(|m| m.tasks.values_mut()) {
+                        p.stored = true;
+                    }
+                }
+            }
+            if acts {
+                for call in c.cluster.direct(usize::MAX) {
+                    self.send(Message::Direct { from: i, life: c.life, call });
+                }
+            }
+            if !c.flying {
+                if let Some(mut batch) = c.cluster.next_batch(c.stamp, &self.limits) {
+                    c.flying = true;
+                    if believes {
+                        batch.txn.guards.retain(|g| g.path != key::LEADER && !g.path.starts_with(key::PAGE));
+                    }
+                    self.send(Message::Txn { from: i, life: c.life, batch });
+                }
+            }
+            self.controllers[i] = Some(c);
+        }
+    }
+
+    pub(super) fn controller(&mut self, i: usize, life: u64) -> Option<&mut Controller> {
+        self.controllers[i].as_mut().filter(|c| c.life == life)
+    }
+
+    pub(super) fn deliver(&mut self, m: Message) {
+        let now = self.at(self.now);
+        if let Some(until) = m.receiver().map(|i| self.frozen[i]).filter(|t| self.now < *t) {
+            // it waits in the socket, in order
+            self.serial += 1;
+            self.mail.insert((until, self.serial), m);
+            return;
+        }
+        match m {
+            Message::Report { to, mut report, number } => {
+                let t = self.now;
+                if t < self.deaf[to] {
+                    return;
+                }
+                if self.sabotage == Sabotage::ReadingOrder {
+                    report.tally = t;
+                }
+                let Some(c) = self.controllers[to].as_mut().filter(|c| t < c.until) else { return };
+                if c.cluster.report(&report, true, now).is_none() {
+                    return;
+                }
+                if c.cluster.stir {
+                    c.wants = c.cluster.place(now);
+                }
+                let answer = c.cluster.answer(&report, now);
+                let Some(machine) = self.workers.iter().position(|w| w.name == report.machine) else { return };
+                self.send(Message::Answer { machine, number, session: report.session, answer });
+            }
+            Message::Answer { machine, number, session, answer } => {
+                let w = &mut self.workers[machine];
+                let Some((_, sent)) = w.flight.filter(|f| f.0 == number) else { return };
+                if !w.alive || self.now < w.hung_until || w.session != session || answer.token < w.token {
+                    return;
+                }
+                if self.now - sent > 4000 {
+                    return;
+                }
+                w.flight = None;
+                w.token = answer.token;
+                w.renewed = w.renewed.max(sent);
+                self.execute(machine, &answer.orders);
+            }
+            Message::Direct { from, life, call } => {
+                let Some(i) = self.workers.iter().position(|w| w.name == call.machine) else { return };
+                let held = self.workers[i].hung_until.max(self.cut[i % 3]).max(self.deaf[from]);
+                if self.workers[i].alive && self.now < held {
+                    // carried out when the machine goes on, or its zone is back
+                    self.serial += 1;
+                    let at = held + STEP;
+                    self.mail.insert((at, self.serial), Message::Direct { from, life, call });
+                    return;
+                }
+                let mut report = None;
+                if self.workers[i].alive {
+                    let w = &mut self.workers[i];
+                    if call.body.token >= w.token && call.body.session == w.session {
+                        w.token = call.body.token;
+                        self.execute(i, &call.body.orders);
+                    }
+                    report = Some(self.workers[i].report());
+                }
+                self.send(Message::DirectAnswer { to: from, life, call, report });
+            }
+            Message::DirectAnswer { to, life, call, report } => {
+                if let Some(c) = self.controller(to, life) {
+                    // given up for good after a while (see `gives_up`)
+                    let flying = c.cluster.machines.get(&call.machine).is_some_and(|m| m.flying);
+                    let current = c
+                        .cluster
+                        .machines
+                        .get(&call.machine)
+                        .is_some_and(|m| m.doubt.is_none_or(|d| d == call.body.token));
+                    if flying && current {
+                        c.cluster.direct_over(&call, report.as_ref(), now);
+                    }
+                }
+            }
+            Message::Txn { from, life, batch } => {
+                let outcome = (self.now >= self.outage).then(|| self.store.apply(&batch.txn));
+                // the answer may be lost
+                let lost = self.rng.u32(0..20) == 0;
+                let outcome = if lost { None } else { outcome };
+                self.send(Message::TxnAnswer { to: from, life, batch, outcome });
+            }
+            Message::TxnAnswer { to, life, batch, outcome } => {
+                let items = |s: &Store, k: &str| {
+                    s.kv.get(k).map(|(data, stamp)| Item { path: k.into(), data: data.clone(), stamp: *stamp })
+                };
+                let mut found = Vec::new();
+                if let Some(Err(keys)) = &outcome {
+                    found = keys.iter().map(|k| (k.clone(), items(&self.store, k))).collect();
+                }
+                let Some(c) = self.controller(to, life) else { return };
+                c.flying = false;
+                match outcome {
+                    Some(Ok(rev)) => {
+                        c.cluster.committed(batch, rev, now);
+                    }
+                    _ => {
+                        c.cluster.not_committed(batch);
+                        for (k, item) in found {
+                            c.cluster.resolve(&k, item.as_ref(), now);
+                        }
+                    }
+                }
+            }
+            Message::Job { to, spec, stamp } => {
+                let fate = self.store.fate(&spec.id);
+                if let Some(c) = self.controllers[to].as_mut().filter(|_| fate.is_none()) {
+                    c.cluster.add_job(spec, stamp, None, now);
+                }
+            }
+            Message::Fate { to, id, fate } => {
+                if let Some(c) = self.controllers[to].as_mut() {
+                    c.cluster.set_fate(&id, fate, now);
+                }
+            }
+            Message::Delete { names, from, life } => {
+                for w in self.workers.iter_mut().filter(|w| names.contains(&w.name)) {
+                    w.alive = false;
+                    w.tasks.clear();
+                }
+                self.send(Message::Deleted { names, to: from, life });
+                self.rent();
+            }
+            Message::Deleted { names, to, life } => {
+                if let Some(c) = self.controller(to, life) {
+                    c.cluster.deleted(&names, now);
+                }
+            }
+        }
+    }
+
+    /// Direct commands without an answer are given up after a while.
+    pub(super) fn gives_up(&mut self) {
+        let late: Vec<(usize, u64, Direct)> = self
+            .mail
+            .iter()
+            .filter_map(|((at, _), m)| match m {
+                Message::Direct { from, life, call } | Message::DirectAnswer { to: from, life, call, .. }
+                    if *at > self.now + 1500 =>
+                {
+                    Some((*from, *life, call.clone()))
+                }
+                _ => None,
+            })
+            .collect();
+        let now = self.at(self.now);
+        let forget = self.sabotage == Sabotage::NoDoubt;
+        for (from, life, call) in late {
+            if self.now < self.frozen[from] {
+                continue; // it gives up when it wakes
+            }
+            if let Some(c) = self.controller(from, life) {
+                let current = c
+                    .cluster
+                    .machines
+                    .get(&call.machine)
+                    .is_some_and(|m| m.flying && m.doubt.is_none_or(|d| d == call.body.token));
+                if current {
+                    c.cluster.direct_over(&call, None, now);
+                    if forget {
+                        if let Some(m) = c.cluster.machines.get_mut(&call.machine) {
+                            m.doubt = None;
+                            let gone: Vec<Task> = m
+                                .tasks
+                                .iter()
+                                .filter(|(_, p)| p.phase == crate::cluster::Phase::Ordered)
+                                .map(|(t, _)| t.clone())
+                                .collect();
+                            for t in gone {
+                                c.cluster.vacate(&call.machine, &t, now);
+                            }
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/sim/machines.rs
@@ -0,0 +1,238 @@
+//! Machines with their workers, as the protocol has them.
+
+use super::*;
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) enum Work {
+    Pulling { until: Ms },
+    Gathering { since: Ms },
+    Running { until: Ms },
+    Ended(Cause),
+}
+
+pub(super) struct Worker {
+    pub(super) name: Name,
+    pub(super) zone: Name,
+    pub(super) spot: bool,
+    pub(super) alive: bool,
+    pub(super) hung_until: Ms,
+    pub(super) sick: bool,
+    pub(super) session: u64,
+    pub(super) tally: u64,
+    pub(super) token: u64,
+    pub(super) renewed: Ms,
+    pub(super) next: Ms,
+    /// Report in flight: number of it and when it was sent.
+    pub(super) flight: Option<(u64, Ms)>,
+    pub(super) tasks: BTreeMap<Task, (u64, Work)>,
+}
+
+impl Worker {
+    pub(super) fn new(i: usize, renewed: Ms, next: Ms) -> Worker {
+        Worker {
+            name: format!("i-{i:06}").into(),
+            zone: format!("z{}", i % 3).into(),
+            spot: i % 4 == 3,
+            alive: true,
+            hung_until: 0,
+            sick: false,
+            session: 1,
+            tally: 0,
+            token: 0,
+            renewed,
+            next,
+            flight: None,
+            tasks: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn report(&mut self) -> Report {
+        self.tally += 1;
+        let one = |(task, (attempt, work)): (&Task, &(u64, Work))| Reported {
+            task: task.clone(),
+            attempt: *attempt,
+            state: match work {
+                Work::Pulling { .. } => TaskState::Pulling,
+                Work::Gathering { .. } => TaskState::Gathering,
+                Work::Running { .. } => TaskState::Running,
+                Work::Ended(_) => TaskState::Ended,
+            },
+            cause: if let Work::Ended(c) = work { Some(*c) } else { None },
+            saved: None,
+        };
+        Report {
+            machine: self.name.clone(),
+            address: "127.0.0.1:9".into(),
+            kind: "t".into(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            session: self.session,
+            tally: self.tally,
+            token: self.token,
+            notice_s: None,
+            tasks: self.tasks.iter().map(one).collect(),
+        }
+    }
+}
+
+impl World {
+    /// The fleet is kept up; new machines appear through their reports.
+    pub(super) fn rent(&mut self) {
+        while self.workers.iter().filter(|w| w.alive).count() < self.scale - 1 {
+            let i = self.workers.len();
+            self.workers.push(Worker::new(i, self.now, self.now + 1000));
+        }
+    }
+
+    pub(super) fn execute(&mut self, i: usize, orders: &[Command]) {
+        for o in orders {
+            match o {
+                Command::Run { task, attempt } => {
+                    let known = self.workers[i].tasks.get(task);
+                    if known.is_some_and(|(a, _)| a == attempt) {
+                        continue;
+                    }
+                    if known.is_some() {
+                        continue; // busy: the listing shows the other attempt
+                    }
+                    let until = self.now + self.rng.u64(0..30) * STEP;
+                    self.workers[i].tasks.insert(task.clone(), (*attempt, Work::Pulling { until }));
+                }
+                Command::Halt { task, attempt, .. } => {
+                    let w = &mut self.workers[i];
+                    if let Some((_, work)) =
+                        w.tasks.get_mut(task).filter(|(a, w)| a == attempt && !matches!(w, Work::Ended(_)))
+                    {
+                        *work = Work::Ended(Cause::Stopped);
+                        w.next = w.next.min(self.now + 500);
+                    }
+                }
+                Command::Reap { task, attempt } => {
+                    let w = &mut self.workers[i];
+                    if w.tasks.get(task).is_some_and(|(a, w)| a == attempt && matches!(w, Work::Ended(_))) {
+                        w.tasks.remove(task);
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn workers_step(&mut self) {
+        for i in 0..self.workers.len() {
+            if !self.workers[i].alive || self.now < self.workers[i].hung_until {
+                continue;
+            }
+            let cut = self.now < self.cut[i % 3];
+            if cut {
+                let w = &mut self.workers[i];
+                (w.renewed, w.flight) = (self.now, None);
+                // it stops what it knew to be over when the cut began; what
+                // was withdrawn less than a watch's delay before may escape it
+                let known = self.now.saturating_sub(45_000);
+                let over = |t: &Task| self.cancelled.get(&t.job).is_some_and(|c| *c < known);
+                for (_, work) in w.tasks.iter_mut().filter(|(t, _)| over(t)).map(|(_, v)| v) {
+                    if !matches!(work, Work::Ended(_)) {
+                        *work = Work::Ended(Cause::Stopped);
+                    }
+                }
+            }
+            let lease = 30_000;
+            if self.now.saturating_sub(self.workers[i].renewed) > lease {
+                let w = &mut self.workers[i];
+                w.tasks.clear();
+                w.session += 1;
+                w.renewed = self.now;
+                w.flight = None;
+            }
+            let tasks: Vec<Task> = self.workers[i].tasks.keys().cloned().collect();
+            for task in tasks {
+                let Some((attempt, work)) = self.workers[i].tasks.get(&task).copied() else { continue };
+                let Some((spec, _)) = self.jobs.get(&task.job).cloned() else { continue };
+                let next = match work {
+                    Work::Pulling { until } if until <= self.now => {
+                        self.started(i, &task, &spec);
+                        if self.workers[i].sick || self.mistaken.contains(&task.job) {
+                            Work::Ended(Cause::Error)
+                        } else if self.finished.contains_key(&task) {
+                            Work::Ended(Cause::Done)
+                        } else if spec.shape == Shape::Gang {
+                            Work::Gathering { since: self.now }
+                        } else {
+                            Work::Running { until: self.now + self.length(&spec) }
+                        }
+                    }
+                    Work::Gathering { since } => {
+                        let mates = self
+                            .workers
+                            .iter()
+                            .flat_map(|w| &w.tasks)
+                            .filter(|(t, (a, w))| {
+                                t.job == task.job
+                                    && *a == attempt
+                                    && matches!(w, Work::Gathering { .. } | Work::Running { .. })
+                            })
+                            .count();
+                        if mates as u32 >= spec.tasks {
+                            Work::Running { until: since / 10_000 * 10_000 + 40_000 }
+                        } else if self.now - since > 20_000 {
+                            Work::Ended(Cause::Alone)
+                        } else {
+                            work
+                        }
+                    }
+                    Work::Running { until } if until <= self.now && spec.shape != Shape::Service => {
+                        self.finished.insert(task.clone(), self.now);
+                        if spec.shape == Shape::Gang {
+                            for index in 0..spec.tasks {
+                                self.finished.entry(Task { job: task.job.clone(), index }).or_insert(self.now);
+                            }
+                        }
+                        Work::Ended(Cause::Done)
+                    }
+                    w => w,
+                };
+                if next != work {
+                    let w = &mut self.workers[i];
+                    w.next = w.next.min(self.now + 500);
+                    w.tasks.insert(task, (attempt, next));
+                }
+            }
+            let given_up = self.workers[i].flight.is_some_and(|(_, sent)| self.now - sent > 4000);
+            if given_up {
+                self.workers[i].flight = None;
+            }
+            if self.workers[i].flight.is_none() && self.workers[i].next <= self.now && !cut {
+                let to = self.controllers.iter().position(|c| c.as_ref().is_some_and(|c| self.now < c.until));
+                let w = &mut self.workers[i];
+                w.next = self.now + 3000;
+                let report = w.report();
+                w.flight = Some((report.tally, self.now));
+                // several may believe that they lead: any of them may be asked
+                let to = match self.rng.u32(0..8) {
+                    0 => self.rng.usize(0..3),
+                    _ => to.unwrap_or(0),
+                };
+                self.send(Message::Report { to, number: report.tally, report });
+            }
+        }
+    }
+
+    pub(super) fn length(&mut self, spec: &Spec) -> Ms {
+        if spec.shape == Shape::Service {
+            Ms::MAX / 2
+        } else {
+            self.rng.u64(20..250) * STEP
+        }
+    }
+}
+
+pub(super) fn listed(w: &Worker) -> Listed {
+    Listed {
+        name: w.name.clone(),
+        kind: "t".into(),
+        zone: w.zone.clone(),
+        spot: w.spot,
+        stage: Stage::Running,
+        held_s: 60.0,
+    }
+}
--- /dev/null
+++ b/src/sim/mod.rs
@@ -0,0 +1,457 @@
+//! A seeded world of stand-ins (state service, cloud, workers, users) that
+//! drives the controllers' decision code through crashes, lost authority,
+//! late messages and outages, while a checker asserts the rules.  Time is
+//! simulated; nothing here sleeps or opens a socket.
+
+mod controllers;
+mod machines;
+mod rules;
+mod service;
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::cluster::{Cluster, Stage, TeamLimit};
+use crate::commit::{read_page, Batch, FateRecord};
+use crate::config::Config;
+use crate::fleet::Listed;
+use crate::model::*;
+use crate::policy::Policy;
+use crate::store::{key, read_value, Item, Txn, TxnLimits, Write};
+use crate::workers::*;
+use controllers::Controller;
+use machines::{listed, Work, Worker};
+use service::Store;
+
+pub const SETTINGS: &str = r#"
+host_name = "a"
+domain = "z0"
+bind = "127.0.0.1:1"
+peer_bind = "127.0.0.1:2"
+[services]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[deployment]
+size = 3
+[deployment.workers]
+report_s = 3.0
+lease_s = 30.0
+gang_wait_s = 20.0
+gang_peer_s = 5.0
+cancel_s = 60.0
+[deployment.state]
+rps = 200.0
+write_rps = 80.0
+value_kb = 16.0
+txn_ops = 8
+[deployment.cloud]
+rps = 5.0
+list_lag_s = 5.0
+[deployment.quota]
+cores = 0.1
+ram_mb = 136.0
+fd_limit = 1000
+"#;
+
+/// A new leader's state, for tests of single slices.
+pub fn cluster(term: u64, now: Instant) -> Cluster {
+    let config = Config::parse("sim", SETTINGS).expect("settings of the simulation");
+    let policy = Arc::new(Policy::new(&config).expect("the default policy"));
+    let mut c = Cluster::new(term, policy, HashMap::new(), now);
+    c.set_types(&[machine_type("t")]);
+    c
+}
+
+/// An array of tasks of one core.
+pub fn spec(id: &str, tasks: u32) -> Arc<Spec> {
+    Arc::new(Spec {
+        id: id.into(),
+        class: "c".into(),
+        team: "x".into(),
+        shape: Shape::Array,
+        rank: Rank::Normal,
+        tasks,
+        cpus: 1.0,
+        gpus: 0.0,
+        memory: 1.0,
+        image: "img-0".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        estimate_s: 10.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    })
+}
+
+fn machine_type(name: &str) -> MachineType {
+    MachineType {
+        name: name.into(),
+        cpus: 8.0,
+        gpus: 0.0,
+        memory: 64.0,
+        cache_gb: 10.0,
+        fetch_gb_per_s: 1.0,
+        price: 1.0,
+        spot_price: 0.5,
+        boot_s: 10.0,
+        zones: vec![],
+    }
+}
+
+/// Milliseconds of simulated time.
+type Ms = u64;
+const STEP: Ms = 100;
+
+/// An invariant broken on purpose, to see that the checker notices.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Sabotage {
+    None,
+    /// Tasks of a machine silent for 5 s are taken for gone.
+    SilenceIsProof,
+    /// Commands leave before their start is stored.
+    UnstoredStarts,
+    /// A direct start without an answer is forgotten at once.
+    NoDoubt,
+    /// Reports are as new as the hour they are read, however late they are.
+    ReadingOrder,
+    /// A machine that a list lacks is taken for gone.
+    ListIsProof,
+    /// A controller that stood still trusts the authority it had before, and
+    /// its writes are not guarded on the leader key.
+    OldAuthority,
+}
+
+enum Message {
+    Report { to: usize, report: Report, number: u64 },
+    Answer { machine: usize, number: u64, session: u64, answer: Answer },
+    Direct { from: usize, life: u64, call: Direct },
+    DirectAnswer { to: usize, life: u64, call: Direct, report: Option<Report> },
+    Txn { from: usize, life: u64, batch: Batch },
+    TxnAnswer { to: usize, life: u64, batch: Batch, outcome: Option<Result<u64, Vec<String>>> },
+    Job { to: usize, spec: Arc<Spec>, stamp: u64 },
+    Fate { to: usize, id: Name, fate: Fate },
+    Delete { names: Vec<Name>, from: usize, life: u64 },
+    Deleted { names: Vec<Name>, to: usize, life: u64 },
+}
+
+impl Message {
+    /// The controller that sends it, if one does.
+    fn sender(&self) -> Option<usize> {
+        match self {
+            Message::Direct { from, .. } | Message::Txn { from, .. } | Message::Delete { from, .. } => Some(*from),
+            _ => None,
+        }
+    }
+
+    /// The controller that it is for, if it is for one.
+    fn receiver(&self) -> Option<usize> {
+        match self {
+            Message::Report { to, .. }
+            | Message::DirectAnswer { to, .. }
+            | Message::TxnAnswer { to, .. }
+            | Message::Job { to, .. }
+            | Message::Fate { to, .. }
+            | Message::Deleted { to, .. } => Some(*to),
+            _ => None,
+        }
+    }
+}
+
+struct World {
+    rng: fastrand::Rng,
+    t0: Instant,
+    now: Ms,
+    policy: Arc<Policy>,
+    teams: HashMap<Name, TeamLimit>,
+    store: Store,
+    workers: Vec<Worker>,
+    controllers: Vec<Option<Controller>>,
+    down_until: Vec<Ms>,
+    no_renewal: Vec<Ms>,
+    outage: Ms,
+    /// Until when each controller stands still while its clocks run on: what
+    /// is sent to it waits, and what it was about to send leaves as it wakes.
+    frozen: [Ms; 3],
+    /// Who stands still at its next step, between its check and its sends, and
+    /// for how long.
+    freezes: Option<(usize, Ms)>,
+    /// Until when each controller and the workers do not reach one another.
+    deaf: [Ms; 3],
+    /// Lists of the last seconds: what the cloud tells may be any of them.
+    lists: Vec<Vec<Listed>>,
+    /// Jobs submitted with a mistake.
+    mistaken: std::collections::HashSet<Name>,
+    /// Until when each zone is cut off.  A controller inside renews the
+    /// leases of its workers.
+    cut: [Ms; 3],
+    jobs: BTreeMap<Name, (Arc<Spec>, u64)>,
+    cancelled: HashMap<Name, Ms>,
+    finished: HashMap<Task, Ms>,
+    mail: BTreeMap<(Ms, u64), Message>,
+    serial: u64,
+    lives: u64,
+    term: u64,
+    sabotage: Sabotage,
+    /// Machines that are kept up, and cores that a team may use.
+    scale: usize,
+    quota: f64,
+    /// Steps between two troubles, on average.
+    quiet: u32,
+    limits: TxnLimits,
+    broken: Vec<String>,
+}
+
+impl World {
+    /// A small world: collisions are frequent.
+    fn new(seed: u64, sabotage: Sabotage) -> World {
+        World::of(9, seed, sabotage)
+    }
+
+    fn of(scale: usize, seed: u64, sabotage: Sabotage) -> World {
+        let config = Config::parse("sim", SETTINGS).expect("settings of the simulation");
+        let quota = 20.0 * (scale as f64 / 9.0).round();
+        let limit = TeamLimit { guarantee: Size::default(), most: Size { cpus: quota, gpus: 0.0, memory: 0.0 } };
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let workers = (0..scale).map(|i| Worker::new(i, 0, rng.u64(0..3000))).collect();
+        World {
+            rng,
+            t0: Instant::now(),
+            now: 0,
+            policy: Arc::new(Policy::new(&config).expect("the default policy")),
+            teams: HashMap::from([("x".into(), limit), ("y".into(), limit)]),
+            store: Store::default(),
+            workers,
+            controllers: vec![None, None, None],
+            down_until: vec![0; 3],
+            no_renewal: vec![0; 3],
+            outage: 0,
+            frozen: [0; 3],
+            freezes: None,
+            deaf: [0; 3],
+            lists: Vec::new(),
+            mistaken: std::collections::HashSet::new(),
+            cut: [0; 3],
+            jobs: BTreeMap::new(),
+            cancelled: HashMap::new(),
+            finished: HashMap::new(),
+            mail: BTreeMap::new(),
+            serial: 0,
+            lives: 0,
+            term: 0,
+            sabotage,
+            scale,
+            quota,
+            quiet: if scale > 100 { 30 } else { 100 },
+            limits: TxnLimits {
+                writes: 8.max(scale / 40),
+                guards: 32.max(scale / 10),
+                page_bytes: 4096.max(scale * 15),
+            },
+            broken: Vec::new(),
+        }
+    }
+
+    fn at(&self, t: Ms) -> Instant {
+        self.t0 + Duration::from_millis(t)
+    }
+
+    fn send(&mut self, m: Message) {
+        // mostly at once, now and then late, rarely a minute late
+        let delay = match self.rng.u32(0..100) {
+            0..=89 => STEP,
+            90..=96 => self.rng.u64(1..30) * STEP,
+            _ => self.rng.u64(10..700) * STEP,
+        };
+        self.serial += 1;
+        // a sender that stands still has not sent it yet
+        let leaves = m.sender().map_or(self.now, |i| self.frozen[i].max(self.now));
+        self.mail.insert((leaves + delay, self.serial), m);
+    }
+
+    fn submit(&mut self) {
+        let n = self.jobs.len();
+        let shape = [Shape::Array, Shape::Gang, Shape::Service][self.rng.usize(0..3)];
+        let one_zone = self.rng.u32(0..4) == 0;
+        // guests come with many of the smallest tasks
+        let tiny = shape == Shape::Array && self.rng.u32(0..6) == 0;
+        let tasks = if tiny { self.rng.u32(20..60) } else { self.rng.u32(1..6) };
+        let spec = Arc::new(Spec {
+            team: if self.rng.bool() { "x" } else { "y" }.into(),
+            shape,
+            rank: [Rank::Production, Rank::High, Rank::Normal, Rank::Low][self.rng.usize(0..4)],
+            cpus: if tiny { 0.25 } else { f64::from(self.rng.u32(1..4)) },
+            image: format!("img-{}", self.rng.u32(0..3)).into(),
+            zone: (self.rng.u32(0..6) == 0).then(|| "z1".into()),
+            one_zone,
+            spread: !one_zone && self.rng.u32(0..3) == 0,
+            spot: self.rng.bool(),
+            ..(*spec(&format!("j-{n:06}"), tasks)).clone()
+        });
+        let mut spec = spec;
+        if spec.spread && spec.zone.is_some() {
+            Arc::make_mut(&mut spec).zone = None;
+        }
+        let mut txn = Txn::default();
+        let path = format!("{}{}", key::JOB, spec.id);
+        txn.guard(path.clone(), 0);
+        txn.writes.push(Write::set(path, &*spec));
+        let stamp = self.store.apply(&txn).expect("a new job");
+        if self.rng.u32(0..12) == 0 {
+            self.mistaken.insert(spec.id.clone());
+        }
+        self.jobs.insert(spec.id.clone(), (spec.clone(), stamp));
+        for to in 0..3 {
+            self.send(Message::Job { to, spec: spec.clone(), stamp });
+        }
+    }
+
+    fn cancel(&mut self) {
+        let open: Vec<Name> = self.jobs.keys().filter(|id| self.store.fate(id).is_none()).cloned().collect();
+        if open.is_empty() {
+            return;
+        }
+        let id = open[self.rng.usize(0..open.len())].clone();
+        let path = format!("{}{id}", key::FATE);
+        let mut txn = Txn::default();
+        txn.guard(path.clone(), 0);
+        txn.writes.push(Write::set(path, &FateRecord { fate: Fate::Cancelled }));
+        if self.store.apply(&txn).is_ok() {
+            self.cancelled.insert(id.clone(), self.now);
+            for to in 0..3 {
+                // a watch that hangs is opened anew within a third of cancel_s
+                self.serial += 1;
+                let at = self.now + self.rng.u64(1..200) * STEP;
+                self.mail.insert((at, self.serial), Message::Fate { to, id: id.clone(), fate: Fate::Cancelled });
+            }
+        }
+    }
+
+    fn trouble(&mut self) {
+        let t = self.now;
+        match self.rng.u32(0..13) {
+            0 => {
+                let i = self.rng.usize(0..3);
+                self.controllers[i] = None;
+                self.down_until[i] = t + 3000;
+            }
+            1 => {
+                self.controllers = vec![None, None, None];
+                self.down_until = vec![t + 3000; 3];
+            }
+            2 => self.outage = t + self.rng.u64(10..150) * STEP,
+            3 | 4 => {
+                let i = self.rng.usize(0..3);
+                self.no_renewal[i] = t + self.rng.u64(20..200) * STEP;
+            }
+            10 | 11 => {
+                let short = self.rng.bool();
+                let gap = if short { self.rng.u64(5..60) } else { self.rng.u64(160..500) };
+                self.freezes = Some((self.rng.usize(0..3), gap * STEP));
+            }
+            12 => self.deaf[self.rng.usize(0..3)] = t + self.rng.u64(20..600) * STEP,
+            9 => self.cut[self.rng.usize(0..3)] = t + self.rng.u64(100..450) * STEP,
+            // dozens at once in a large world
+            kind => {
+                for _ in 0..self.scale.div_ceil(30) {
+                    let i = self.rng.usize(0..self.workers.len());
+                    let hang = t + self.rng.u64(10..400) * STEP;
+                    let w = &mut self.workers[i];
+                    match kind {
+                        5 => {
+                            w.alive = false;
+                            w.tasks.clear();
+                        }
+                        6 | 7 => w.hung_until = hang,
+                        _ => w.sick = !w.sick,
+                    }
+                }
+                self.rent();
+            }
+        }
+    }
+
+    fn run(mut self, until: Ms, calm_from: Ms) -> World {
+        while self.now < until && self.broken.is_empty() {
+            self.now += STEP;
+            while let Some(e) = self.mail.first_entry().filter(|e| e.key().0 <= self.now) {
+                let m = e.remove();
+                self.deliver(m);
+            }
+            let calm = self.now >= calm_from;
+            for _ in 0..self.scale.div_ceil(9) {
+                if !calm && self.rng.u32(0..40) == 0 {
+                    self.submit();
+                }
+                if !calm && self.rng.u32(0..120) == 0 {
+                    self.cancel();
+                }
+            }
+            if !calm && self.rng.u32(0..self.quiet) == 0 {
+                self.trouble();
+            }
+            if self.now == calm_from {
+                for w in &mut self.workers {
+                    w.sick = false;
+                }
+            }
+            self.gives_up();
+            self.controllers_step();
+            self.workers_step();
+            if self.now.is_multiple_of(1000) {
+                self.always();
+            }
+        }
+        self
+    }
+}
+
+#[test]
+fn the_rules_hold_through_troubles() {
+    let mut done = 0;
+    for seed in 0..40 {
+        let w = World::new(seed, Sabotage::None).run(240_000, 180_000);
+        assert!(w.broken.is_empty(), "seed {seed} at {} ms: {:?}", w.now, w.broken);
+        done += w.jobs.keys().filter(|id| w.store.fate(id) == Some(Fate::Done)).count();
+    }
+    // the checker had something to check
+    assert!(done > 400, "only {done} jobs came through");
+}
+
+/// Each invariant, broken on purpose, is noticed: the checker is not blind.
+#[test]
+fn the_checker_sees_broken_invariants() {
+    for s in [
+        Sabotage::SilenceIsProof,
+        Sabotage::UnstoredStarts,
+        Sabotage::NoDoubt,
+        Sabotage::ReadingOrder,
+        Sabotage::ListIsProof,
+        Sabotage::OldAuthority,
+    ] {
+        let seen = (0..40).any(|seed| !World::new(seed, s).run(240_000, 180_000).broken.is_empty());
+        assert!(seen, "{s:?} went unnoticed");
+    }
+    let large = World::of(1000, 0, Sabotage::SilenceIsProof).run(90_000, 70_000);
+    assert!(!large.broken.is_empty(), "a thousand machines hide what nine show");
+}
+
+/// The same with a thousand machines, of which dozens fail at once: pages
+/// fill, are taken in turn and read by one leader after another.
+#[test]
+fn the_rules_hold_in_a_large_world() {
+    let (mut terms, mut done, mut pages) = (0, 0, 0);
+    for seed in 0..2 {
+        let w = World::of(1000, seed, Sabotage::None).run(90_000, 70_000);
+        assert!(w.broken.is_empty(), "seed {seed} at {} ms: {:?}", w.now, w.broken);
+        terms += w.term;
+        done += w.jobs.keys().filter(|id| w.store.fate(id) == Some(Fate::Done)).count();
+        pages += w.store.kv.keys().filter(|k| k.starts_with(key::PAGE)).count();
+    }
+    assert!(terms > 3 && done > 60 && pages > 20, "too little to check: {terms} terms, {done} done, {pages} pages");
+}
--- /dev/null
+++ b/src/sim/rules.rs
@@ -0,0 +1,75 @@
+//! The rules, asserted throughout.
+
+use super::*;
+
+impl World {
+    /// The rules, at the moment a task gets onto a machine.
+    pub(super) fn started(&mut self, i: usize, task: &Task, spec: &Spec) {
+        let on = |w: &Work| !matches!(w, Work::Pulling { .. } | Work::Ended(_));
+        let mut used = spec.cpus;
+        let mut zones: BTreeMap<Name, u32> = BTreeMap::from([(self.workers[i].zone.clone(), 1)]);
+        let mut broken = Vec::new();
+        for (j, w) in self.workers.iter().enumerate().filter(|(_, w)| w.alive) {
+            for (t, (_, work)) in w.tasks.iter().filter(|(_, (_, w))| on(w)) {
+                if (j, t) == (i, task) {
+                    continue;
+                }
+                if t == task {
+                    broken.push(format!("ran_twice: {t} on {} and {}", w.name, self.workers[i].name));
+                }
+                let (other, _) = &self.jobs[&t.job];
+                if other.team == spec.team {
+                    used += other.cpus;
+                }
+                if t.job == task.job {
+                    *zones.entry(w.zone.clone()).or_insert(0) += 1;
+                }
+                let _ = work;
+            }
+        }
+        if used > self.quota + 1e-6 {
+            broken.push(format!("quota: {} uses {used}", spec.team));
+        }
+        let w = &self.workers[i];
+        if !spec.allows(&"t".into(), &w.zone, w.spot)
+            || spec.one_zone && zones.len() > 1
+            || zones[&w.zone] > spec.zone_cap()
+        {
+            broken.push(format!("wrong_place: {task} on {}", w.name));
+        }
+        if self.cancelled.get(&task.job).is_some_and(|t| self.now - t > 60_000) {
+            broken.push(format!("ran_cancelled: {task} starts"));
+        }
+        self.broken.extend(broken);
+    }
+
+    pub(super) fn always(&mut self) {
+        // a machine that hangs beyond its lease executes nothing any more; that
+        // its tasks stay listed here is to catch those who start them again
+        let lost = |w: &&Worker| self.now < w.hung_until && self.now.saturating_sub(w.renewed) > 30_000;
+        for w in self.workers.iter().filter(|w| w.alive && !lost(w)) {
+            for (t, (_, work)) in &w.tasks {
+                let on = !matches!(work, Work::Pulling { .. } | Work::Ended(_));
+                if on && self.cancelled.get(&t.job).is_some_and(|c| self.now - c > 60_000) {
+                    let known = |c: &Controller| {
+                        let m = c.cluster.machines.get(&w.name);
+                        m.map(|m| {
+                            (c.until, c.cluster.term, m.heard.is_some(), m.deleting.is_some(), m.tasks.get(t).cloned())
+                        })
+                    };
+                    let known: Vec<_> = self.controllers.iter().flatten().map(known).collect();
+                    let world = (self.cancelled[&t.job], self.outage, self.cut, w.hung_until, w.renewed);
+                    self.broken.push(format!("ran_cancelled: {t} on {}: {world:?}, {known:?}", w.name));
+                }
+            }
+        }
+        for (id, (spec, _)) in &self.jobs {
+            if self.store.fate(id) == Some(Fate::Done) {
+                let all = (0..spec.tasks).all(|index| self.finished.contains_key(&Task { job: id.clone(), index }));
+                if !all {
+                    self.broken.push(format!("not_done: {id}"));
+                }
+            }
+        }
+    }
+}
