Replicas that sit a few to a machine move to fuller ones, and machines go back

Ruled out: that moving costs more of `up` than it saves: a move with the image at hand takes about two seconds. Change: with nothing waiting, the machine with fewest settled replicas is drained if all of them fit, in their zone and with their image, on machines that hold no fewer, and enough room is left for guarantees and for what lately came of classes that should start sooner than a machine boots.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::cluster::{Cluster, Machine, Stage};
+use crate::cluster::{Cluster, Job, Machine, Phase, Place, Stage};
 use crate::model::*;
 use crate::placement::{zone_ok, Want};
 
@@ -160,6 +160,9 @@
     pub fn plan(&mut self, wants: &[Want], now: Instant) -> Plan {
         let mut plan = Plan::default();
         self.returns(&mut plan, now);
+        if wants.is_empty() {
+            self.consolidate(now);
+        }
         self.rentals(wants, &mut plan, now);
         plan
     }
@@ -389,6 +392,87 @@
         }
     }
 
+    /// When short work is through, its replicas sit a few to a machine, and
+    /// would keep half-empty ordinary machines for as long as they live.  A few
+    /// at a time move to where their image is, in their zone, on machines that
+    /// hold no fewer; the machine they leave is drained, and so returned.
+    fn consolidate(&mut self, now: Instant) {
+        let p = self.policy.clone();
+        if now.duration_since(self.began.max(self.awake)) < p.settled || !self.fleet.cut.is_empty() {
+            return;
+        }
+        // replicas that are down for a move, or wait, and those that are not
+        let (mut down, mut replicas) = (0, 0);
+        for j in self.jobs.values().filter(|j| j.fate.is_none() && j.waiting() > 0) {
+            if j.spec.shape != Shape::Service {
+                return; // there is work for the room
+            }
+            down += j.waiting() as usize;
+        }
+        let service = |p: &Place| p.spec.shape == Shape::Service;
+        for place in self.machines.values().flat_map(|m| m.tasks.values()).filter(|p| service(p)) {
+            replicas += 1;
+            down += usize::from(place.halt.is_some());
+        }
+        let most = ((replicas as f64 * p.move_share) as usize).max(1);
+        let settled = |t: &Place| {
+            let since = t.running_since.filter(|_| t.phase == Phase::Running && t.halt.is_none());
+            since.is_some_and(|s| now.duration_since(s) > p.settled)
+        };
+        let movable = |m: &&Machine| {
+            m.usable(now, &p) && !m.spot && !m.tasks.is_empty() && m.tasks.values().all(|t| service(t) && settled(t))
+        };
+        let Some(from) = self.machines.values().filter(movable).min_by_key(|m| m.tasks.len()) else { return };
+        let used = from.tasks.len();
+        if down + used > most.max(used) || !self.room_without(from, now) {
+            return;
+        }
+        let mut others: Vec<(&Machine, Size)> = self
+            .machines
+            .values()
+            .filter(|m| m.name != from.name && m.zone == from.zone && m.usable(now, &p))
+            .filter(|m| m.tasks.values().filter(|t| service(t)).count() >= used)
+            .map(|m| (m, m.free()))
+            .collect();
+        for t in from.tasks.values() {
+            let size = t.spec.size();
+            let fits = |o: &&mut (&Machine, Size)| {
+                o.1.holds(&size) && o.0.has_image(&t.spec.image) && t.spec.allows(&o.0.kind, &o.0.zone, o.0.spot)
+            };
+            let Some(o) = others.iter_mut().find(fits) else { return };
+            o.1.take(&size);
+        }
+        let name = from.name.clone();
+        log::info!("machine {name} is emptied: its {used} replicas fit on others");
+        if let Some(m) = self.machines.get_mut(&name) {
+            m.drain = Some("is emptied");
+        }
+    }
+
+    /// Whether enough room would be left without a machine whose tasks go to
+    /// others: for guarantees, and for what is likely to come of classes that
+    /// should start sooner than a machine boots.
+    fn room_without(&self, m: &Machine, now: Instant) -> bool {
+        let bare = |size: &Size| Size { memory: 0.0, ..*size };
+        let (mut spare, mut free) = (Size::default(), self.free_room(now));
+        for m in self.machines.values().filter(|m| m.gone.is_none() && m.deleting.is_none() && m.drain.is_none()) {
+            spare.give(&m.size);
+        }
+        spare.take(&self.kept());
+        free.take(&self.headroom_size());
+        let boot = self.types.get(&m.kind).map_or(60.0, |t| t.boot_s);
+        let urgent = |spec: std::sync::Arc<Spec>| {
+            let lately = |j: &&Job| {
+                j.spec.class == spec.class && now.duration_since(j.known).as_secs_f64() < self.policy.horizon_s
+            };
+            let came: u32 = self.jobs.values().filter(lately).map(|j| j.spec.tasks).sum();
+            let likely = f64::from(came) * 2.0 * boot / self.policy.horizon_s;
+            let room = self.all_ready_room(&spec, now).saturating_sub(m.size.count(&spec.size(), 1000));
+            room as f64 >= likely.max(self.policy.urgent_room as f64)
+        };
+        spare.holds(&bare(&m.size)) && bare(&free).holds(&bare(&m.size)) && self.urgent().into_iter().all(urgent)
+    }
+
     fn rentals(&mut self, wants: &[Want], plan: &mut Plan, now: Instant) {
         let policy = self.policy.clone();
         // machines on their way count before new ones are asked for; a new
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -189,6 +189,10 @@
     image_share: f64 as f64, 0.0 ..= 1.0;
     /// Waits for images that differ by less than this count as equal.
     fetch_grain_s: f64 as Seconds, 0.001 ..= 600.0;
+    /// A replica moves no sooner than this after it began to run.
+    settled: Duration as Duration, 0.0 ..= 86400.0;
+    /// Share of the replicas that may be down at once for a move.
+    move_share: f64 as f64, 0.0 ..= 1.0;
     /// Drift of a steady clock.
     drift: f64 as f64, 0.0 ..= 0.1;
 }
