--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -682,4 +682,61 @@
         let later = t0 + c.policy.fresh + Duration::from_secs(1);
         assert_eq!(c.plan(&[], later).delete.len(), 30);
     }
+
+    /// Replicas leave a machine that holds few for fuller ones, one machine at a
+    /// time in a small fleet, and only if all of them have a place where their
+    /// image is; nothing moves while other work waits for room.
+    #[test]
+    fn sparse_machines_are_emptied_and_no_others() {
+        let t0 = Instant::now();
+        let mut c = cluster(2, t0);
+        let replica = |id: &str| {
+            let mut s = (*spec(id, 1)).clone();
+            (s.shape, s.spot, s.cpus) = (Shape::Service, false, 2.0);
+            std::sync::Arc::new(s)
+        };
+        let now = t0 + c.policy.settled * 3;
+        // eight cores each: three replicas, two, one, and room to spare
+        for (m, held) in [3, 2, 1, 0, 0, 0].into_iter().enumerate() {
+            let name: Name = format!("i-{m}").into();
+            let mut machine = Machine::new(name.clone(), "t".into(), "z0".into(), false, t0);
+            (machine.session, machine.heard, machine.size) = (1, Some(now), c.types["t"].size());
+            machine.images = vec![("img-0".into(), 1.0)];
+            machine.idle = Some(now);
+            c.machines.insert(name.clone(), machine);
+            for n in 0..held {
+                let id: Name = format!("j-{m}{n}").into();
+                c.add_job(replica(&id), 1, None, t0);
+                assert!(c.assign(&Task { job: id, index: 0 }, &name, 1, t0));
+            }
+        }
+        for p in c.machines.values_mut().flat_map(|m| m.tasks.values_mut()) {
+            (p.phase, p.stored, p.running_since) = (Phase::Running, true, Some(t0));
+        }
+        let drained = |c: &Cluster| {
+            c.machines.values().filter(|m| m.drain.is_some()).map(|m| m.name.to_string()).collect::<Vec<_>>()
+        };
+        // other work waits
+        c.add_job(spec("j-000009", 1), 9, None, t0);
+        c.plan(&[], now);
+        assert!(drained(&c).is_empty());
+        c.set_fate("j-000009", Fate::Cancelled, now);
+        // its image is not where there is room
+        c.machines.values_mut().for_each(|m| m.images.clear());
+        c.plan(&[], now);
+        assert!(drained(&c).is_empty());
+        c.machines.values_mut().for_each(|m| m.images = vec![("img-0".into(), 1.0)]);
+        c.plan(&[], now);
+        assert_eq!(drained(&c), ["i-2"]);
+        // while its replica is down, no other follows
+        c.plan(&[], now);
+        assert_eq!(drained(&c), ["i-2"]);
+        // nothing that has just begun moves
+        c.machines.get_mut("i-2").expect("it is there").drain = None;
+        for p in c.machines.values_mut().flat_map(|m| m.tasks.values_mut()) {
+            (p.running_since, p.halt) = (Some(now), None);
+        }
+        c.plan(&[], now);
+        assert!(drained(&c).is_empty());
+    }
 }
