--- a/src/cli.rs
+++ b/src/cli.rs
@@ -181,6 +181,8 @@
         connections: config.deployment.quota.fd_limit.saturating_sub(64).clamp(16, 4000),
         idle: policy.connection_idle,
         arrive: Duration::from_secs(10),
+        // the most patient are users that submit
+        answer: Duration::from_secs(5),
     };
     let (bind, peer_bind) = (config.bind, config.peer_bind);
     let node = Arc::new(Node::new(config, policy, Instant::now()));
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -62,12 +62,62 @@
     /// Rentals under way or in doubt; in doubt they are asked again under the
     /// same charter.
     pub open: Vec<Rental>,
+    /// Records of rentals in the store, each with its charters and when they
+    /// were answered.
+    pub records: BTreeMap<String, Vec<(Name, Option<Instant>)>>,
+    next_record: u64,
     /// When the last whole list arrived.
     pub listed: Option<Instant>,
     /// Zones that seem to be cut off: many of their machines are silent.
     pub cut: HashSet<Name>,
 }
 
+impl Fleet {
+    /// Those of these rentals that are not on record yet.
+    pub fn unrecorded(&self, rentals: &[Rental]) -> Vec<Rental> {
+        let on = |c: &Name| self.records.values().flatten().any(|r| r.0 == *c);
+        rentals.iter().filter(|r| !on(&r.charter)).cloned().collect()
+    }
+
+    /// A key for a new record, never used before: one that stayed in doubt may
+    /// be written yet, and must not replace another.
+    pub fn record_key(&mut self, term: u64) -> String {
+        self.next_record += 1;
+        format!("{}{term}-{}", crate::store::key::RENTAL, self.next_record)
+    }
+
+    /// These rentals are on record.
+    pub fn recorded(&mut self, key: String, rentals: &[Rental]) {
+        self.records.insert(key, rentals.iter().map(|r| (r.charter.clone(), None)).collect());
+    }
+
+    /// A forerunner's record.  What it asked for is asked for again under the
+    /// same charter: that rents nothing twice, and tells what was rented.
+    pub fn inherit(&mut self, key: String, rentals: Vec<Rental>) {
+        self.recorded(key, &rentals);
+        for r in rentals {
+            if !self.open.iter().any(|o| o.charter == r.charter) {
+                self.open.push(r);
+            }
+        }
+    }
+
+    /// The cloud has answered a rental, one way or the other.
+    pub fn answered(&mut self, charter: &Name, now: Instant) {
+        self.open.retain(|o| o.charter != *charter);
+        for r in self.records.values_mut().flatten().filter(|r| r.0 == *charter) {
+            r.1.get_or_insert(now);
+        }
+    }
+
+    /// Records of which nothing is to be learned any more: all was answered so
+    /// long ago that a list has it.
+    pub fn outlived(&self, kept: Duration, most: usize, now: Instant) -> Vec<String> {
+        let over = |r: &(Name, Option<Instant>)| r.1.is_some_and(|t| now.duration_since(t) > kept);
+        self.records.iter().filter(|(_, l)| l.iter().all(over)).map(|(k, _)| k.clone()).take(most).collect()
+    }
+}
+
 /// Most names in one deletion.
 const MOST_DELETES: usize = 100;
 /// Most machines in one rental.
@@ -122,7 +172,7 @@
 
     /// Names the cloud rented to us.
     pub fn rented(&mut self, r: &Rental, names: &[Name], now: Instant) {
-        self.fleet.open.retain(|o| o.charter != r.charter);
+        self.fleet.answered(&r.charter, now);
         log::info!("rented {} of {} {} in {}, spot {}: {names:?}", names.len(), r.count, r.kind, r.zone, r.spot);
         if (names.len() as u32) < r.count {
             self.no_capacity(&(r.kind.clone(), r.zone.clone(), r.spot), now);
@@ -475,12 +525,10 @@
 
     fn rentals(&mut self, wants: &[Want], plan: &mut Plan, now: Instant) {
         let policy = self.policy.clone();
-        // machines on their way count before new ones are asked for; a new
-        // leader first has to learn what its forerunner rented
+        // machines on their way count before new ones are asked for.  A new
+        // leader knows those of its forerunner from the list, and what the list
+        // may lack from the records, which count until they are answered
         let Some(_) = self.fleet.listed else { return };
-        if self.term > 1 && now.duration_since(self.began) < policy.list_settles {
-            return;
-        }
         plan.rent.extend(self.fleet.open.iter().cloned());
         let mut coming: Vec<(Pool, Size)> = self
             .machines
@@ -683,6 +731,42 @@
         assert_eq!(c.plan(&[], later).delete.len(), 30);
     }
 
+    /// Rentals outlive their leader: the next one asks again under the same
+    /// charter, and nothing new before it knows what is on its way.
+    #[test]
+    fn a_forerunners_rentals_are_asked_for_again_and_not_twice() {
+        let t0 = Instant::now();
+        let mut old = cluster(1, t0);
+        old.set_types(&[MachineType { zones: vec!["z0".into()], ..crate::sim::machine_type("t") }]);
+        old.fleet.listed = Some(t0);
+        let want = |c: &Cluster| Want { spec: c.jobs["j-000001"].spec.clone(), count: 300, zones: BTreeMap::new() };
+        old.add_job(spec("j-000001", 300), 1, None, t0);
+        let asked = old.plan(&[want(&old)], t0).rent;
+        assert!(!asked.is_empty());
+        let key = old.fleet.record_key(1);
+        assert_eq!(old.fleet.unrecorded(&asked), asked);
+        old.fleet.recorded(key.clone(), &asked);
+        assert!(old.fleet.unrecorded(&asked).is_empty());
+        // its term ends before the cloud answers
+        let mut new = cluster(2, t0);
+        new.set_types(&[MachineType { zones: vec!["z0".into()], ..crate::sim::machine_type("t") }]);
+        new.fleet.listed = Some(t0);
+        new.add_job(spec("j-000001", 300), 1, None, t0);
+        new.fleet.inherit(key.clone(), asked.clone());
+        new.fleet.inherit("again".into(), asked.clone());
+        let plan = new.plan(&[want(&new)], t0);
+        assert_eq!(plan.rent, asked, "asked for again, and nothing beside it");
+        // answered: the names count until a list has them, then the record goes
+        for (n, r) in asked.iter().enumerate() {
+            let names: Vec<Name> = (0..r.count).map(|i| format!("i-{n}-{i}").into()).collect();
+            new.rented(r, &names, t0);
+        }
+        assert!(new.plan(&[want(&new)], t0).rent.is_empty());
+        let kept = new.policy.rental_kept;
+        assert!(new.fleet.outlived(kept, 9, t0 + kept).is_empty());
+        assert_eq!(new.fleet.outlived(kept, 9, t0 + kept * 2).len(), 2);
+    }
+
     /// Replicas leave a machine that holds few for fuller ones, one machine at a
     /// time in a small fleet, and only if all of them have a place where their
     /// image is; nothing moves while other work waits for room.
--- a/src/http.rs
+++ b/src/http.rs
@@ -258,6 +258,8 @@
     pub idle: Duration,
     /// How long one request may take to arrive in full.
     pub arrive: Duration,
+    /// How long an answer is of any use to whoever asked.
+    pub answer: Duration,
 }
 
 /// Deadlines of the open connections.  A timer for each of some thousand
@@ -400,7 +402,14 @@
         }
         let path = head.target.split('?').next().unwrap_or_default().to_owned();
         deadline.none();
+        let asked = Instant::now();
         let r = handler(Request { method: head.method, path, body }).await;
+        // nobody waits so long.  An answer that is late because this process
+        // stood still may be older than what a sibling has said since: it is
+        // not sent
+        if asked.elapsed() > limits.answer {
+            return Ok(());
+        }
         deadline.within(limits.arrive);
         send_response(&mut s, &r, head.close).await?;
         if head.close {
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -14,7 +14,7 @@
 use crate::leadership::{Authority, Ears};
 use crate::model::*;
 use crate::node::{Inner, Node};
-use crate::store::{key, Error, Item, Outcome, Txn, Write};
+use crate::store::{key, read_value, Error, Item, Outcome, Txn, Write};
 use crate::telemetry::{count, Timed};
 use crate::workers::Report;
 
@@ -57,7 +57,7 @@
         self.to_place.wake();
         let work =
             futures_lite::future::or(self.commits(a), futures_lite::future::or(self.placing(), self.commanding()));
-        let cloud = futures_lite::future::or(self.listing(a), self.cloud_work());
+        let cloud = futures_lite::future::or(self.listing(a), self.cloud_work(a));
         futures_lite::future::or(futures_lite::future::or(work, cloud), self.ears()).await
     }
 
@@ -69,15 +69,16 @@
             smol::Timer::after(Duration::from_millis(20)).await;
         }
         let asked = crate::node::timed(self.policy.renew, self.ask_all(true));
-        let (pages, _) = futures_util::future::join(self.store.list(key::PAGE), asked).await;
-        self.take_over(a, pages?.0, Instant::now());
+        let stored = futures_util::future::join(self.store.list(key::PAGE), self.store.list(key::RENTAL));
+        let ((pages, rentals), _) = futures_util::future::join(stored, asked).await;
+        self.take_over(a, pages?.0, rentals?.0, Instant::now());
         Ok(())
     }
 
     /// Makes the picture and leads by it, under one lock and with no await:
     /// what the watch brings is either in the picture or reaches it.  A pause
     /// between the two once lost a withdrawal, and its task ran on.
-    fn take_over(&self, a: Authority, pages: Vec<Item>, now: Instant) {
+    fn take_over(&self, a: Authority, pages: Vec<Item>, rentals: Vec<Item>, now: Instant) {
         let mut c = Cluster::new(a.term, self.policy.clone(), self.teams(), now);
         for o in self.config.deployment.objectives.iter().filter(|o| o.kind == "wait") {
             if let (Some(class), Some(within)) = (&o.class, o.within_s) {
@@ -95,6 +96,11 @@
                 c.add_page(id, page, &machines, now);
             }
         }
+        for item in rentals {
+            if let Some(r) = read_value::<Vec<Rental>>(&item.path, item.data) {
+                c.fleet.inherit(item.path, r);
+            }
+        }
         c.tidy(now);
         c.learned = self.peers.learned();
         log::info!("term {}: {} jobs, {} machines on record", a.term, c.jobs.len(), c.machines.len());
@@ -199,6 +205,11 @@
                 let calls = self.lock().cluster.as_mut().map(|c| c.direct(most)).unwrap_or_default();
                 for d in calls {
                     flying.push(async move {
+                        // read as the bytes leave: this may have stood still
+                        // since it was decided
+                        if !self.may_act(Instant::now()) {
+                            return (d, None);
+                        }
                         let body = http::encode(&d.body);
                         let sent =
                             self.workers.send(d.address, "POST", "/commands", Some(&body), self.policy.direct_limit);
@@ -368,7 +379,7 @@
     }
 
     /// Rents and returns.
-    async fn cloud_work(&self) -> &'static str {
+    async fn cloud_work(&self, a: Authority) -> &'static str {
         let mut due = Instant::now();
         loop {
             let now = Instant::now();
@@ -388,13 +399,67 @@
                 i.wants = wants;
                 plan
             };
-            self.carry_out(plan).await;
+            self.carry_out(plan, a).await;
             self.to_place.wake();
+            self.clear_rentals(a).await;
+        }
+    }
+
+    /// Puts rentals on record before they are asked for: should this term end
+    /// before the answer, the next leader learns of them.  One key for all that
+    /// are new.  Without a record they are planned again.
+    async fn record(&self, rentals: &[Rental], a: Authority) -> bool {
+        let (new, path) = {
+            let mut i = self.lock();
+            let Some(c) = i.cluster.as_mut() else { return false };
+            let new = c.fleet.unrecorded(rentals);
+            if new.is_empty() {
+                return true;
+            }
+            (new, c.fleet.record_key(a.term))
+        };
+        let mut txn = Txn { guards: vec![], writes: vec![Write::set(path.clone(), &new)] };
+        txn.guard(key::LEADER, a.stamp);
+        match self.store.txn(&txn).await {
+            Ok(Outcome::Done(_)) => {
+                if let Some(c) = self.lock().cluster.as_mut() {
+                    c.fleet.recorded(path, &new);
+                }
+                true
+            }
+            other => {
+                log::debug!("rentals are not on record: {other:?}");
+                false
+            }
+        }
+    }
+
+    /// Removes records of which nothing is to be learned any more.
+    async fn clear_rentals(&self, a: Authority) {
+        let most = self.store.most.writes / 2;
+        let gone = {
+            let i = self.lock();
+            let Some(c) = i.cluster.as_ref() else { return };
+            c.fleet.outlived(self.policy.rental_kept, most, Instant::now())
+        };
+        if gone.is_empty() {
+            return;
+        }
+        let mut txn = Txn { guards: vec![], writes: gone.iter().map(Write::delete).collect() };
+        txn.guard(key::LEADER, a.stamp);
+        if let Ok(Outcome::Done(_)) = self.store.txn(&txn).await {
+            if let Some(c) = self.lock().cluster.as_mut() {
+                c.fleet.records.retain(|k, _| !gone.contains(k));
+            }
         }
     }
 
-    async fn carry_out(&self, plan: Plan) {
-        let rentals = futures_util::future::join_all(plan.rent.iter().map(|r| self.rent(r)));
+    async fn carry_out(&self, plan: Plan, a: Authority) {
+        let rentals = async {
+            if self.record(&plan.rent, a).await {
+                futures_util::future::join_all(plan.rent.iter().map(|r| self.rent(r))).await;
+            }
+        };
         futures_util::future::join(self.give_back(&plan.delete), rentals).await;
     }
 
@@ -432,12 +497,12 @@
             },
             Ok((503, body)) if String::from_utf8_lossy(&body).contains("capacity") => {
                 log::info!("no capacity: {} in {}, spot {}", r.kind, r.zone, r.spot);
-                c.fleet.open.retain(|o| o.charter != r.charter);
+                c.fleet.answered(&r.charter, now);
                 c.no_capacity(&(r.kind.clone(), r.zone.clone(), r.spot), now);
             }
             Ok((400, _)) => {
                 log::error!("rental {} is malformed to the cloud", r.charter);
-                c.fleet.open.retain(|o| o.charter != r.charter);
+                c.fleet.answered(&r.charter, now);
                 c.no_capacity(&(r.kind.clone(), r.zone.clone(), r.spot), now);
             }
             // in doubt: asked again under the same charter
@@ -473,7 +538,7 @@
             node.learn_job(spec(id, 1), 1, now);
         }
         node.learn_fate("j-000001", Fate::Cancelled, now);
-        node.take_over(Authority { term: 2, stamp: 1, hold: 1, until: now, since: now }, Vec::new(), now);
+        node.take_over(Authority { term: 2, stamp: 1, hold: 1, until: now, since: now }, Vec::new(), Vec::new(), now);
         node.learn_fate("j-000002", Fate::Cancelled, now);
         node.learn_job(spec("j-000004", 1), 2, now);
         let i = node.lock();
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -129,9 +129,8 @@
     list_every: Duration as Duration, 0.1 ..= 3600.0;
     /// How long a list may lag.
     list_lag: Duration as Duration, 0.0 ..= 3600.0;
-    /// When a new leader's lists show what its forerunner rented; what they
-    /// still miss is rented twice, and then used or returned.
-    list_settles: Duration as Duration, 0.0 ..= 3600.0;
+    /// How long an answered rental stays on record: until lists have it.
+    rental_kept: Duration as Duration, 0.0 ..= 3600.0;
     /// A machine that lists miss is given up after so long a silence.
     missed: Duration as Duration, 0.1 ..= 3600.0;
     /// No capacity: how long that kind is not asked for again.
--- a/src/sim/mod.rs
+++ b/src/sim/mod.rs
@@ -89,7 +89,7 @@
     })
 }
 
-fn machine_type(name: &str) -> MachineType {
+pub fn machine_type(name: &str) -> MachineType {
     MachineType {
         name: name.into(),
         cpus: 8.0,
--- a/src/store.rs
+++ b/src/store.rs
@@ -33,6 +33,8 @@
     pub const TYPES: &str = "c2/w/types";
     /// Starts and completed tasks.
     pub const PAGE: &str = "c2/p/page/";
+    /// Rentals asked for lately.
+    pub const RENTAL: &str = "c2/p/rental/";
     /// The layout before this one, which this program does not read.
     pub const OUTDATED: &str = "c1/";
 }
