--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -448,7 +448,10 @@
     /// hold no fewer; the machine they leave is drained, and so returned.
     fn consolidate(&mut self, now: Instant) {
         let p = self.policy.clone();
-        if now.duration_since(self.began.max(self.awake)) < p.settled || !self.fleet.cut.is_empty() {
+        // a cloud that does not answer takes nothing back: a drained machine
+        // would only be lost
+        let cloud = self.fleet.listed.is_some_and(|t| now.duration_since(t) < p.fresh);
+        if !cloud || now.duration_since(self.began.max(self.awake)) < p.settled || !self.fleet.cut.is_empty() {
             return;
         }
         // replicas that are down for a move, or wait, and those that are not
@@ -800,6 +803,10 @@
         let drained = |c: &Cluster| {
             c.machines.values().filter(|m| m.drain.is_some()).map(|m| m.name.to_string()).collect::<Vec<_>>()
         };
+        // the cloud takes nothing back for now
+        c.plan(&[], now);
+        assert!(drained(&c).is_empty());
+        c.fleet.listed = Some(now);
         // other work waits
         c.add_job(spec("j-000009", 1), 9, None, t0);
         c.plan(&[], now);
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -123,7 +123,7 @@
             let Some((count, zones)) = blocked else { continue };
             if job.suspect.is_some() {
                 // nobody gives way to a probe, nothing is held or rented for it
-                out.whys.push((job.spec.id.clone(), "its tasks fail everywhere"));
+                out.whys.push((job.spec.id.clone(), crate::workers::SUSPECT));
                 continue;
             }
             // no room: hold what is being freed, or make room
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -179,6 +179,8 @@
     pub body: DirectBody,
 }
 
+/// Why a job that fails everywhere waits.
+pub const SUSPECT: &str = "its tasks fail everywhere";
 /// Why a machine that fails the tasks of several jobs is drained.
 const FAILS: &str = "fails its tasks";
 /// Tasks of a job, and tasks on a machine, below which they say nothing.
@@ -574,6 +576,7 @@
             None if !proven && evidence >= 2 && evidence > against => {
                 log::info!("{id} fails on {evidence} machines: taken for broken, probed one task at a time");
                 job.suspect = Some(Suspect { since: now, probes: 0 });
+                job.why = SUSPECT;
                 let fetches = |p: &Place| matches!(p.phase, Phase::Ordered | Phase::Pulling);
                 let wait: Vec<_> = placed.iter().filter(|p| place(p).is_some_and(fetches)).cloned().collect();
                 for n in job.failed_on.clone() {
