Ended jobs leave a controller's memory; the first read is by pages

Cause: every controller kept each job's record for ever, the leader a second time, and the first read of the watched keys held all pages at once: 446 MB at 100,000 ended jobs, so a controller of 158 MB ended for memory before it led, at every start. Change: a ledger keeps what is unfinished and the last ended jobs (ended_kept). The first read joins records with their ends a page at a time and follows the watch meanwhile; a new leader reads what pages name and memory lacks. Queries for unknown ids are looked up together, within lookup_share of the state service's requests; the rest is refused at once.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -205,6 +205,8 @@
         ex.spawn(async move { n.store_submissions().await }).detach();
         let n = node.clone();
         ex.spawn(async move { n.confirm_open().await }).detach();
+        let n = node.clone();
+        ex.spawn(async move { n.look_up().await }).detach();
         ex.spawn(node.clone().types_at_start()).detach();
         let handler = Rc::new(move |r| node.clone().handle(r));
         let served = async {
--- a/src/commit.rs
+++ b/src/commit.rs
@@ -75,6 +75,12 @@
     Some((id, Page { stamp: item.stamp, starts, done: r.done }, places))
 }
 
+/// The jobs that a stored page names as started.
+pub fn jobs_of_page(item: &Item) -> Vec<Name> {
+    let r: Option<PageRecord> = crate::store::read_value(&item.path, item.data.clone());
+    r.map(|r| r.starts.into_iter().map(|s| s.0).collect()).unwrap_or_default()
+}
+
 /// The key of a page.
 pub fn page_key(id: u32) -> String {
     format!("{}{id}", key::PAGE)
@@ -313,13 +319,6 @@
     }
 }
 
-/// The stored value of a job's end.
-#[derive(Debug, Serialize, Deserialize)]
-pub struct FateRecord {
-    /// How it ended.
-    pub fate: Fate,
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/http.rs
+++ b/src/http.rs
@@ -67,6 +67,8 @@
     pub method: String,
     /// The path, without the query.
     pub path: String,
+    /// The query, without its question mark; empty if there is none.
+    pub query: String,
     /// The body.
     pub body: Vec<u8>,
 }
@@ -400,10 +402,11 @@
         if buf.capacity() > BODY_LIMIT / 4 {
             buf.shrink_to(CHUNK);
         }
-        let path = head.target.split('?').next().unwrap_or_default().to_owned();
+        let (path, query) = head.target.split_once('?').unwrap_or((&head.target, ""));
+        let (path, query) = (path.to_owned(), query.to_owned());
         deadline.none();
         let asked = Instant::now();
-        let r = handler(Request { method: head.method, path, body }).await;
+        let r = handler(Request { method: head.method, path, query, body }).await;
         // nobody waits so long.  An answer that is late because this process
         // stood still may be older than what a sibling has said since: it is
         // not sent
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -5,16 +5,16 @@
 //! over" is said only after the store has confirmed that no end is stored,
 //! many queries in one comparison: no controller ever gives an older answer.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
-use crate::commit::FateRecord;
 use crate::http::{self, Request, Response};
+use crate::ledger::{Ended, Open, Standing};
 use crate::model::*;
 use crate::node::{timed, Node};
-use crate::store::{key, read_value, Error, Outcome, Txn, Write};
+use crate::store::{key, read_value, Budget, Error, Outcome, Txn, Write};
 use crate::telemetry::{count, Timed};
 use crate::workers::{Answer, Command, Report, Reported, TaskState};
 
@@ -49,18 +49,43 @@
     Unknown,
 }
 
+/// What is known of an id once the store was asked, if it had to be.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum Found {
+    /// Never accepted.
+    Never,
+    /// Unfinished as far as is known here; only the store confirms it.
+    Open,
+    /// Unfinished a moment ago, by the store's word.
+    Confirmed,
+    /// Over for good.
+    Over(Fate),
+}
+
 /// Users' requests on their way to the store, gathered into transactions.
 pub struct Intake {
     submissions: Queue<(Arc<Spec>, Reply<Accepted>)>,
     checks: Queue<(Name, Reply<Option<Option<Fate>>>)>,
+    /// Ids that are not known here.
+    lookups: Queue<(Name, Reply<Option<Found>>)>,
+    /// Requests to the store for these.
+    lookup_calls: Mutex<Budget>,
 }
 
 /// Requests that may wait for the store at once; more are refused.
 const MOST_WAITING: usize = 512;
 
-impl Default for Intake {
-    fn default() -> Self {
-        Intake { submissions: smol::channel::bounded(MOST_WAITING), checks: smol::channel::bounded(MOST_WAITING) }
+impl Intake {
+    /// Queues of nothing.  Queries for unknown ids may take so many requests a
+    /// second; no more of them wait than a second serves, the rest is refused.
+    pub fn new(lookup_rate: f64, now: Instant) -> Intake {
+        let most = (lookup_rate as usize).clamp(1, MOST_WAITING);
+        Intake {
+            submissions: smol::channel::bounded(MOST_WAITING),
+            checks: smol::channel::bounded(MOST_WAITING),
+            lookups: smol::channel::bounded(most),
+            lookup_calls: Mutex::new(Budget::new(lookup_rate, lookup_rate, now)),
+        }
     }
 }
 
@@ -69,6 +94,72 @@
 /// A user waits 2 s for a query.
 const QUERY_LIMIT: Duration = Duration::from_millis(1700);
 
+/// Ids that are looked up together: each is guarded on having neither a record
+/// nor an end.  What a conflict names exists; the rest is asked again, for
+/// nothing says that a conflict names every key.
+#[derive(Debug)]
+pub(crate) struct Lookup {
+    /// Ids, whether they have a record, and whether they have an end.
+    ids: Vec<(Name, bool, bool)>,
+    /// The last transaction confirmed the rest.
+    settled: bool,
+}
+
+impl Lookup {
+    /// Nothing is known of these yet.
+    pub(crate) fn new<'a>(ids: impl Iterator<Item = &'a Name>) -> Lookup {
+        let mut l = Lookup { ids: Vec::new(), settled: false };
+        for id in ids {
+            if !l.ids.iter().any(|i| i.0 == *id) {
+                l.ids.push((id.clone(), false, false));
+            }
+        }
+        l
+    }
+
+    /// What to ask next; `None` once all is known.
+    pub(crate) fn txn(&self) -> Option<Txn> {
+        let mut txn = Txn::default();
+        for (id, exists, _) in self.ids.iter().filter(|i| !i.2) {
+            if !exists {
+                txn.guard(format!("{}{id}", key::JOB), 0);
+            }
+            txn.guard(format!("{}{id}", key::FATE), 0);
+        }
+        (!self.settled && !txn.guards.is_empty()).then_some(txn)
+    }
+
+    /// The last transaction went through.
+    pub(crate) fn as_guarded(&mut self) {
+        self.settled = true;
+    }
+
+    /// These keys exist; false if that is nothing new.
+    pub(crate) fn conflict(&mut self, keys: &[String]) -> bool {
+        let mut news = false;
+        for k in keys {
+            let job = k.strip_prefix(key::JOB);
+            let Some(id) = job.or_else(|| k.strip_prefix(key::FATE)) else { continue };
+            for i in self.ids.iter_mut().filter(|i| *i.0 == *id) {
+                let known = if job.is_some() { &mut i.1 } else { &mut i.2 };
+                news |= !std::mem::replace(known, true);
+            }
+        }
+        news
+    }
+
+    /// Those that have an end.
+    pub(crate) fn ended(&self) -> Vec<Name> {
+        self.ids.iter().filter(|i| i.2).map(|i| i.0.clone()).collect()
+    }
+
+    /// What is known of an id that has no end, once all is known.
+    pub(crate) fn found(&self, id: &str) -> Option<Found> {
+        let i = self.ids.iter().find(|i| *i.0 == *id && !i.2)?;
+        Some(if i.1 { Found::Confirmed } else { Found::Never })
+    }
+}
+
 impl Node {
     /// Answers one request.
     pub async fn handle(self: Arc<Self>, r: Request) -> Response {
@@ -269,8 +360,7 @@
     /// time and by whomever.
     fn keep_alive(&self, i: &crate::node::Inner, report: &Report, token: u64) -> Answer {
         count(&self.telemetry.counters.kept_alive);
-        let over =
-            |t: &&Reported| t.state != TaskState::Ended && i.jobs.get(&t.task.job).is_some_and(|k| k.fate.is_some());
+        let over = |t: &&Reported| t.state != TaskState::Ended && i.ledger.fate(&t.task.job).is_some();
         let halt = |t: &Reported| Command::Halt { task: t.task.clone(), attempt: t.attempt, grace: 0.0 };
         Answer { token, orders: report.tasks.iter().filter(over).map(halt).collect() }
     }
@@ -303,8 +393,8 @@
             return Response::refuse(400, why);
         }
         let (known, ready) = {
-            let i = self.lock();
-            (i.jobs.contains_key(&spec.id), i.synced && !i.types.is_empty())
+            let mut i = self.lock();
+            (i.ledger.standing(&spec.id) != Standing::Unknown, i.synced && !i.types.is_empty())
         };
         // a repeat is recognised before anything is said against it
         if known {
@@ -315,9 +405,9 @@
         }
         if let Some(why) = self.never(&spec) {
             return match self.find(&spec.id).await {
-                Ok(true) => self.query(&spec.id).await,
-                Ok(false) => Response::refuse(422, why),
-                Err(_) => Response::refuse(503, "the state service does not answer"),
+                Some(Found::Never) => Response::refuse(422, why),
+                Some(found) => self.told(&spec.id, found).await,
+                None => Response::refuse(503, "the state service does not answer"),
             };
         }
         let id = spec.id.clone();
@@ -329,7 +419,8 @@
             Some(Ok(Accepted::New)) => {
                 Response::new(201, &JobState { id, stage: "pending".into(), done: 0, running: 0 })
             }
-            Some(Ok(Accepted::Before)) => self.query(&id).await,
+            // the store has it; whether it is over is not known
+            Some(Ok(Accepted::Before)) => self.told(&id, Found::Open).await,
             _ => Response::refuse(503, "the state service does not answer"),
         }
     }
@@ -361,17 +452,15 @@
                 match outcome {
                     Ok(Outcome::Done(stamp)) => {
                         for (spec, reply) in batch.drain(..) {
-                            self.learn_job(spec, stamp, now);
+                            self.stored_job(spec, stamp, now);
                             let _ = reply.try_send(Accepted::New);
                         }
                     }
                     Ok(Outcome::Conflict(failed)) => {
                         // those exist already, perhaps by a try of ours
                         for k in &failed {
-                            let found = k.strip_prefix(key::JOB).is_some() && self.fetch(k).await.is_ok();
-                            let answer = if found { Accepted::Before } else { Accepted::Unknown };
                             for (_, reply) in batch.extract_if(.., |(s, _)| *k == format!("{}{}", key::JOB, s.id)) {
-                                let _ = reply.try_send(answer);
+                                let _ = reply.try_send(Accepted::Before);
                             }
                         }
                     }
@@ -390,26 +479,104 @@
         }
     }
 
-    /// Reads a job's record into what is known.
-    async fn fetch(&self, path: &str) -> Result<bool, Error> {
-        let Some(item) = self.store.get(path).await? else { return Ok(false) };
-        if let Some(spec) = read_value::<Spec>(path, item.data) {
-            self.learn_job(Arc::new(spec), item.stamp, Instant::now());
+    /// A job and its end as stored, or nothing if it was never accepted.  What
+    /// is over is kept for the next question; what is not comes by the watch.
+    pub(crate) async fn read_job(&self, id: &str) -> Result<Option<(Open, Option<Fate>)>, Error> {
+        let (job, end) = (format!("{}{id}", key::JOB), format!("{}{id}", key::FATE));
+        // the end last: it may come in between
+        let Some(item) = self.store.get(&job).await? else { return Ok(None) };
+        let end = self.store.get(&end).await?;
+        let spec = read_value::<Spec>(&job, item.data).ok_or(Error::Refused(503))?;
+        let open = Open { spec: Arc::new(spec), stamp: item.stamp };
+        let fate = match end {
+            None => None,
+            Some(e) => Some(read_value::<FateRecord>(&e.path, e.data).ok_or(Error::Refused(503))?.fate),
+        };
+        if let Some(fate) = fate {
+            let e = Ended { spec: open.spec.clone(), stamp: open.stamp, fate };
+            let mut i = self.lock();
+            if !i.ledger.ends(id, fate) {
+                i.ledger.remember(e);
+            }
+        }
+        Ok(Some((open, fate)))
+    }
+
+    /// How a job stands; `None` if that cannot be told now.
+    async fn find(&self, id: &str) -> Option<Found> {
+        match self.lock().ledger.standing(id) {
+            Standing::Open(_) => return Some(Found::Open),
+            Standing::Ended(e) => return Some(Found::Over(e.fate)),
+            Standing::Unknown => {}
+        }
+        let (reply, answer) = smol::channel::bounded(1);
+        if self.intake.lookups.0.try_send((id.into(), reply)).is_err() {
+            count(&self.telemetry.counters.lookups_refused);
+            return None;
         }
-        Ok(true)
+        timed(QUERY_LIMIT, answer.recv()).await?.ok()?
     }
 
-    /// Whether a job was ever accepted.
-    async fn find(&self, id: &str) -> Result<bool, Error> {
-        if self.lock().jobs.contains_key(id) {
-            return Ok(true);
+    async fn lookup_pause(&self, calls: f64) {
+        let wait = {
+            let mut b = self.intake.lookup_calls.lock().unwrap_or_else(|e| e.into_inner());
+            b.take(calls, Instant::now())
+        };
+        if !wait.is_zero() {
+            smol::Timer::after(wait).await;
+        }
+    }
+
+    /// Looks up ids that are not known here, those that wait together at once:
+    /// users ask about jobs that are over for long, and about some that nobody
+    /// submitted.
+    pub async fn look_up(&self) {
+        let queue = &self.intake.lookups.1;
+        while let Ok(first) = queue.recv().await {
+            smol::Timer::after(self.policy.confirm_gap).await;
+            let mut batch = vec![first];
+            while batch.len() < self.store.most.guards / 2 {
+                let Ok(next) = queue.try_recv() else { break };
+                batch.push(next);
+            }
+            // who has given up gets no answer, and costs nothing
+            batch.retain(|(_, reply)| !reply.is_closed());
+            if batch.is_empty() {
+                continue;
+            }
+            let mut asked = Lookup::new(batch.iter().map(|(id, _)| id));
+            let mut failed = false;
+            while let Some(txn) = asked.txn() {
+                self.lookup_pause(1.0).await;
+                match self.store.txn(&txn).await {
+                    Ok(Outcome::Done(_)) => asked.as_guarded(),
+                    Ok(Outcome::Conflict(keys)) if asked.conflict(&keys) => {}
+                    Ok(Outcome::Conflict(_)) | Err(_) => {
+                        failed = true;
+                        break;
+                    }
+                }
+            }
+            for id in asked.ended() {
+                self.lookup_pause(2.0).await;
+                let read = self.read_job(&id).await;
+                let found = match read {
+                    Ok(Some((_, Some(fate)))) => Some(Found::Over(fate)),
+                    _ => None,
+                };
+                for (_, reply) in batch.extract_if(.., |(i, _)| *i == id) {
+                    let _ = reply.try_send(found.clone());
+                }
+            }
+            for (id, reply) in batch {
+                let _ = reply.try_send(if failed { None } else { asked.found(&id) });
+            }
         }
-        self.fetch(&format!("{}{id}", key::JOB)).await
     }
 
     /// The job's end, or `None` if the store confirms that it has none.
     async fn fate_of(&self, id: &Name) -> Option<Option<Fate>> {
-        if let Some(f) = self.lock().jobs.get(id).and_then(|k| k.fate) {
+        if let Some(f) = self.lock().ledger.fate(id) {
             return Some(Some(f));
         }
         let (reply, answer) = smol::channel::bounded(1);
@@ -474,7 +641,7 @@
     /// A job's state for display.
     fn state(&self, id: &Name, fate: Option<Fate>) -> JobState {
         let i = self.lock();
-        let tasks = i.jobs.get(id).map_or(0, |k| k.spec.tasks);
+        let tasks = i.ledger.tasks(id).unwrap_or(0);
         let (mut done, mut running) = (0, 0);
         match fate {
             Some(Fate::Done) => done = tasks,
@@ -525,13 +692,22 @@
         if !valid_id(id) {
             return Response::refuse(404, "no such job");
         }
-        match timed(QUERY_LIMIT, self.find(id)).await {
-            Some(Ok(true)) => {}
-            Some(Ok(false)) => return Response::refuse(404, "no such job"),
-            _ => return Response::refuse(503, "the state service does not answer"),
+        match self.find(id).await {
+            Some(Found::Never) => Response::refuse(404, "no such job"),
+            Some(found) => self.told(id, found).await,
+            None => Response::refuse(503, "the state service does not answer"),
         }
+    }
+
+    /// The answer to a user about a job that was accepted.
+    async fn told(&self, id: &str, found: Found) -> Response {
         let id: Name = id.into();
-        match self.fate_of(&id).await {
+        let fate = match found {
+            Found::Over(fate) => Some(Some(fate)),
+            Found::Confirmed => Some(None),
+            _ => self.fate_of(&id).await,
+        };
+        match fate {
             Some(fate) => Response::new(200, &self.state(&id, fate)),
             None => Response::refuse(503, "the state service does not answer"),
         }
@@ -549,11 +725,11 @@
     }
 
     async fn cancel(&self, id: &str) -> Result<Option<Fate>, Error> {
-        if !self.find(id).await? {
-            return Ok(None);
-        }
-        if let Some(f) = self.lock().jobs.get(id).and_then(|k| k.fate) {
-            return Ok(Some(f));
+        match self.find(id).await {
+            Some(Found::Never) => return Ok(None),
+            Some(Found::Over(fate)) => return Ok(Some(fate)),
+            Some(Found::Open | Found::Confirmed) => {}
+            None => return Err(Error::Refused(503)),
         }
         let path = format!("{}{id}", key::FATE);
         let mut txn = Txn::default();
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -1,6 +1,7 @@
 //! What a leader does besides answering reports: reads the store, places,
 //! commits, and deals with the cloud.  All of it ends with the term.
 
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -8,10 +9,11 @@
 use serde::{Deserialize, Serialize};
 
 use crate::cluster::{Cluster, Machine, Stage};
-use crate::commit::read_page;
+use crate::commit::{read_page, Page, Whereabouts};
 use crate::fleet::{Listed, Plan, Rental};
 use crate::http;
 use crate::leadership::{Authority, Ears};
+use crate::ledger::{Open, Standing};
 use crate::model::*;
 use crate::node::{Inner, Node};
 use crate::store::{key, read_value, Error, Item, Outcome, Txn, Write};
@@ -42,6 +44,15 @@
 /// How long the cloud may take to answer.
 const CLOUD_LIMIT: Duration = Duration::from_secs(4);
 
+/// What a new leader has read.
+#[derive(Default)]
+struct Stored {
+    pages: Vec<(u32, Page, HashMap<Name, Whereabouts>)>,
+    rentals: Vec<Item>,
+    /// Jobs that pages name and that were read one by one.
+    over: HashMap<Name, (Open, Option<Fate>)>,
+}
+
 impl Node {
     /// Leads until the term is over; the caller drops this when it is.
     pub async fn lead(&self, a: Authority) -> &'static str {
@@ -71,14 +82,35 @@
         let asked = crate::node::timed(self.policy.renew, self.ask_all(true));
         let stored = futures_util::future::join(self.store.list(key::PAGE), self.store.list(key::RENTAL));
         let ((pages, rentals), _) = futures_util::future::join(stored, asked).await;
-        self.take_over(a, pages?.0, rentals?.0, Instant::now());
-        Ok(())
+        let pages: Vec<_> = pages?.into_iter().filter_map(|i| read_page(&i.path, &i)).collect();
+        let mut stored = Stored { pages, rentals: rentals?, over: HashMap::new() };
+        loop {
+            let missing = match self.take_over(a, stored, Instant::now()) {
+                Ok(()) => return Ok(()),
+                Err((back, missing)) => {
+                    stored = back;
+                    missing
+                }
+            };
+            log::info!("term {}: reads {} jobs that are over and still on record", a.term, missing.len());
+            let mut reads = futures_util::stream::iter(missing.iter().map(|id| self.read_job(id))).buffer_unordered(8);
+            while let Some(job) = reads.next().await {
+                if let Some((o, fate)) = job? {
+                    stored.over.insert(o.spec.id.clone(), (o, fate));
+                }
+            }
+        }
     }
 
     /// Makes the picture and leads by it, under one lock and with no await:
     /// what the watch brings is either in the picture or reaches it.  A pause
     /// between the two once lost a withdrawal, and its task ran on.
-    fn take_over(&self, a: Authority, pages: Vec<Item>, rentals: Vec<Item>, now: Instant) {
+    ///
+    /// The picture is of what is unfinished, and of what ended lately and may
+    /// still have tasks somewhere.  Jobs that starts on record name and that
+    /// are not in memory any more are given back to be read: without them a
+    /// new leader would neither count nor stop what may run of them.
+    fn take_over(&self, a: Authority, stored: Stored, now: Instant) -> Result<(), (Stored, Vec<Name>)> {
         let mut c = Cluster::new(a.term, self.policy.clone(), self.teams(), now);
         for o in self.config.deployment.objectives.iter().filter(|o| o.kind == "wait") {
             if let (Some(class), Some(within)) = (&o.class, o.within_s) {
@@ -88,15 +120,29 @@
         }
         let mut i = self.lock();
         c.set_types(&i.types);
-        for k in i.jobs.values() {
-            c.add_job(k.spec.clone(), k.stamp, k.fate, now);
+        for o in i.ledger.open() {
+            c.add_job(o.spec.clone(), o.stamp, None, now);
         }
-        for item in pages {
-            if let Some((id, page, machines)) = read_page(&item.path, &item) {
-                c.add_page(id, page, &machines, now);
+        let mut missing = HashSet::new();
+        for id in stored.pages.iter().flat_map(|(_, p, _)| &p.starts).map(|s| &s.task.job) {
+            if c.jobs.contains_key(id) || missing.contains(id) {
+                continue;
+            }
+            match (i.ledger.standing(id), stored.over.get(id)) {
+                (Standing::Ended(e), _) => c.add_job(e.spec, e.stamp, Some(e.fate), now),
+                (_, Some((o, fate))) => c.add_job(o.spec.clone(), o.stamp, *fate, now),
+                _ => {
+                    missing.insert(id.clone());
+                }
             }
         }
-        for item in rentals {
+        if !missing.is_empty() {
+            return Err((stored, missing.into_iter().collect()));
+        }
+        for (id, page, machines) in stored.pages {
+            c.add_page(id, page, &machines, now);
+        }
+        for item in stored.rentals {
             if let Some(r) = read_value::<Vec<Rental>>(&item.path, item.data) {
                 c.fleet.inherit(item.path, r);
             }
@@ -105,6 +151,7 @@
         c.learned = self.peers.learned();
         log::info!("term {}: {} jobs, {} machines on record", a.term, c.jobs.len(), c.machines.len());
         i.cluster = Some(c);
+        Ok(())
     }
 
     /// Stores what there is to store, one transaction at a time.
@@ -538,7 +585,8 @@
             node.learn_job(spec(id, 1), 1, now);
         }
         node.learn_fate("j-000001", Fate::Cancelled, now);
-        node.take_over(Authority { term: 2, stamp: 1, hold: 1, until: now, since: now }, Vec::new(), Vec::new(), now);
+        let a = Authority { term: 2, stamp: 1, hold: 1, until: now, since: now };
+        assert!(node.take_over(a, Stored::default(), now).is_ok());
         node.learn_fate("j-000002", Fate::Cancelled, now);
         node.learn_job(spec("j-000004", 1), 2, now);
         let i = node.lock();
@@ -547,4 +595,35 @@
             c.jobs.values().filter(|j| j.fate.is_none()).map(|j| &*j.spec.id).collect();
         assert_eq!(open.into_iter().collect::<Vec<_>>(), ["j-000003", "j-000004"]);
     }
+
+    /// A start on record of a job that is over and not in memory any more: the
+    /// new leader asks for the job, and then counts and stops what may run.
+    #[test]
+    fn what_is_over_and_on_record_is_read_and_stopped() {
+        let now = Instant::now();
+        let config = Config::parse("test", SETTINGS).expect("settings of the tests");
+        let policy = Policy::new(&config).expect("the default policy");
+        let node = Node::new(config, policy, now);
+        node.learn_job(spec("j-000001", 1), 1, now);
+        let start = |job: &str| crate::commit::Start {
+            machine: "i-1".into(),
+            task: Task { job: job.into(), index: 0 },
+            attempt: 7,
+            session: 1,
+        };
+        let page = Page { stamp: 3, starts: vec![start("j-000001"), start("j-000002")], done: Vec::new() };
+        let places = HashMap::from([("i-1".into(), ("t".into(), "z0".into(), false))]);
+        let stored = Stored { pages: vec![(0, page, places)], ..Stored::default() };
+        let a = Authority { term: 2, stamp: 1, hold: 1, until: now, since: now };
+        let Err((mut stored, missing)) = node.take_over(a, stored, now) else { panic!("it leads without knowing") };
+        assert_eq!(missing, ["j-000002".into()]);
+        assert!(node.lock().cluster.is_none(), "no half of a picture");
+        let open = Open { spec: spec("j-000002", 1), stamp: 2 };
+        stored.over.insert("j-000002".into(), (open, Some(Fate::Cancelled)));
+        assert!(node.take_over(a, stored, now).is_ok());
+        let i = node.lock();
+        let tasks = &i.cluster.as_ref().expect("it leads").machines["i-1"].tasks;
+        let halted: Vec<_> = tasks.iter().map(|(t, p)| (&*t.job, p.halt.is_some())).collect();
+        assert_eq!(halted, [("j-000001", false), ("j-000002", true)]);
+    }
 }
--- /dev/null
+++ b/src/ledger.rs
@@ -0,0 +1,290 @@
+//! The jobs that a controller knows: every unfinished one, and of the ended
+//! ones the last few.  Plain state: it reads nothing and asks nobody, and it
+//! must not know how the store is reached.
+//!
+//! What is not in here may still be stored: an ended job leaves, so that its
+//! controller's memory does not grow with what ever was.  Only the store can
+//! say of an unknown id that it was never accepted.
+//!
+//! A job enters as unfinished only where its end, if it has one, is still to
+//! come by the watch.  Nothing else would ever take it out again.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::num::NonZeroUsize;
+use std::sync::Arc;
+
+use lru::LruCache;
+
+use crate::model::*;
+use crate::store::{key, read_value, Item};
+
+/// An unfinished job.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Open {
+    /// The submission.
+    pub spec: Arc<Spec>,
+    /// Stamp of its record: the order of arrival.
+    pub stamp: u64,
+}
+
+/// An ended job.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Ended {
+    /// The submission.
+    pub spec: Arc<Spec>,
+    /// Stamp of its record.
+    pub stamp: u64,
+    /// Its end, which never changes.
+    pub fate: Fate,
+}
+
+/// What is known of an id without asking the store.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Standing {
+    /// Unfinished, as far as is known here.
+    Open(Open),
+    /// Over for good.
+    Ended(Ended),
+    /// Not known here: never accepted, too new, or over for long.
+    Unknown,
+}
+
+/// Jobs by id.
+#[derive(Debug)]
+pub struct Ledger {
+    open: HashMap<Name, Open>,
+    ended: LruCache<Name, Ended>,
+    /// Records up to this revision come by the sweep or the watch, with their
+    /// ends, and in no other way.
+    floor: u64,
+}
+
+impl Ledger {
+    /// An empty ledger that keeps the last `most` ended jobs.
+    pub fn new(most: usize) -> Ledger {
+        let most = NonZeroUsize::new(most).unwrap_or(NonZeroUsize::MIN);
+        Ledger { open: HashMap::new(), ended: LruCache::new(most), floor: 0 }
+    }
+
+    /// How many unfinished jobs there are.
+    pub fn len(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Whether no unfinished job is known.
+    pub fn is_empty(&self) -> bool {
+        self.open.is_empty()
+    }
+
+    /// The unfinished jobs, in no order.
+    pub fn open(&self) -> impl Iterator<Item = &Open> {
+        self.open.values()
+    }
+
+    /// How many ended jobs are kept.
+    pub fn ended(&self) -> usize {
+        self.ended.len()
+    }
+
+    /// What is known of an id.
+    pub fn standing(&mut self, id: &str) -> Standing {
+        if let Some(o) = self.open.get(id) {
+            return Standing::Open(o.clone());
+        }
+        self.ended.get(id).map_or(Standing::Unknown, |e| Standing::Ended(e.clone()))
+    }
+
+    /// The end of a job, if it is known here.
+    pub fn fate(&self, id: &str) -> Option<Fate> {
+        self.ended.peek(id).map(|e| e.fate)
+    }
+
+    /// How many tasks a job has, if it is known here.
+    pub fn tasks(&self, id: &str) -> Option<u32> {
+        self.open.get(id).map(|o| &o.spec).or_else(|| self.ended.peek(id).map(|e| &e.spec)).map(|s| s.tasks)
+    }
+
+    /// A sweep or a watch begins at this revision.
+    pub fn begins(&mut self, epoch: u64) {
+        self.floor = self.floor.max(epoch);
+    }
+
+    /// A record that the sweep or the watch shows; true if it is new here.
+    /// Should it be over already, its end follows by the watch.
+    pub fn seen(&mut self, spec: Arc<Spec>, stamp: u64) -> bool {
+        if self.open.contains_key(&spec.id) || self.ended.contains(&spec.id) {
+            return false;
+        }
+        self.open.insert(spec.id.clone(), Open { spec, stamp });
+        true
+    }
+
+    /// A record that a transaction of our own has made at `stamp`; true if it
+    /// is new here.  An answer may be read late, after the watch has shown the
+    /// record and its end: then it tells nothing new, and must not bring the
+    /// job back.
+    pub fn stored(&mut self, spec: Arc<Spec>, stamp: u64) -> bool {
+        stamp > self.floor && self.seen(spec, stamp)
+    }
+
+    /// A job's end, as the store has it; true if the job was unfinished here.
+    pub fn ends(&mut self, id: &str, fate: Fate) -> bool {
+        let Some(o) = self.open.remove(id) else { return false };
+        self.remember(Ended { spec: o.spec, stamp: o.stamp, fate });
+        true
+    }
+
+    /// An ended job that was read from the store.
+    pub fn remember(&mut self, e: Ended) {
+        self.open.remove(&e.spec.id);
+        self.ended.put(e.spec.id.clone(), e);
+    }
+}
+
+/// Which page a sweep needs next.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Need {
+    /// Keys under this.
+    pub under: &'static str,
+    /// After this key; empty for the first page.
+    pub since: String,
+}
+
+/// One listing of keys in their order, a page at a time.
+#[derive(Debug)]
+struct Listing {
+    under: &'static str,
+    rows: VecDeque<Item>,
+    since: String,
+    over: bool,
+}
+
+impl Listing {
+    fn new(under: &'static str) -> Listing {
+        Listing { under, rows: VecDeque::new(), since: String::new(), over: false }
+    }
+
+    fn need(&self) -> Option<Need> {
+        (self.rows.is_empty() && !self.over).then(|| Need { under: self.under, since: self.since.clone() })
+    }
+
+    fn front(&self) -> Option<&str> {
+        self.rows.front().and_then(|i| i.path.strip_prefix(self.under))
+    }
+}
+
+/// Reads all records with their ends, both in the order of ids, and holds no
+/// more than a page of each: the history may be of any length.
+///
+/// The pages are of different moments.  Whatever changes after the first one
+/// is shown by a watch from its revision; so a record read here without its
+/// end is corrected by the watch, and an end read without its record belongs
+/// to a record that the watch shows before that end.
+#[derive(Debug)]
+pub struct Sweep {
+    jobs: Listing,
+    fates: Listing,
+    /// Ended jobs that are worth keeping all the same.
+    wanted: HashSet<Name>,
+    /// Jobs that the watch has shown to end since the sweep began: a page at
+    /// hand may be older than that.
+    ended: HashSet<Name>,
+}
+
+impl Sweep {
+    /// A sweep that has read nothing.  `wanted`: ended jobs that may still
+    /// have tasks somewhere.
+    pub fn new(wanted: HashSet<Name>) -> Sweep {
+        Sweep { jobs: Listing::new(key::JOB), fates: Listing::new(key::FATE), wanted, ended: HashSet::new() }
+    }
+
+    /// Jobs that the watch has shown to end.  Its changes may be taken in while
+    /// the sweep goes on.
+    pub fn ended(&mut self, ids: impl Iterator<Item = Name>) {
+        self.ended.extend(ids);
+    }
+
+    /// The page to read next; `None` when all is read.
+    pub fn need(&self) -> Option<Need> {
+        if self.jobs.over && self.jobs.rows.is_empty() {
+            return None;
+        }
+        self.jobs.need().or_else(|| self.fates.need())
+    }
+
+    /// A page that was needed.
+    pub fn page(&mut self, under: &str, rows: Vec<Item>, truncated: bool) {
+        let l = if under == key::JOB { &mut self.jobs } else { &mut self.fates };
+        match rows.last() {
+            Some(last) => l.since.clone_from(&last.path),
+            None => l.over = true,
+        }
+        l.over |= !truncated;
+        l.rows.extend(rows);
+    }
+
+    /// The next record with its end, as far as the pages at hand tell.
+    fn next(&mut self) -> Option<(Item, Option<Item>)> {
+        loop {
+            let id = self.jobs.front()?;
+            let Some(end) = self.fates.front() else {
+                // without the next page of ends nothing can be said of it
+                return self.fates.over.then(|| self.jobs.rows.pop_front().map(|j| (j, None))).flatten();
+            };
+            match end.cmp(id) {
+                std::cmp::Ordering::Less => {
+                    self.fates.rows.pop_front();
+                }
+                std::cmp::Ordering::Equal => return Some((self.jobs.rows.pop_front()?, self.fates.rows.pop_front())),
+                std::cmp::Ordering::Greater => return self.jobs.rows.pop_front().map(|j| (j, None)),
+            }
+        }
+    }
+
+    /// Enters into a ledger what the pages at hand tell.  Calls back with the
+    /// jobs that are new as unfinished, and with those that ended unseen.
+    pub fn enter(&mut self, ledger: &mut Ledger, mut news: impl FnMut(News)) {
+        while let Some((job, end)) = self.next() {
+            let id = job.path.strip_prefix(key::JOB).unwrap_or_default();
+            let fate = match &end {
+                None => None,
+                Some(e) => match read_value::<FateRecord>(&e.path, e.data.clone()).map(|r| r.fate) {
+                    // an end that cannot be read is an end all the same: not
+                    // taking the job for unfinished is right, whatever it was
+                    None => continue,
+                    fate => fate,
+                },
+            };
+            match fate {
+                Some(f) => {
+                    if ledger.ends(id, f) {
+                        news(News::Ended(id.into(), f));
+                    } else if self.wanted.contains(id) && ledger.fate(id).is_none() {
+                        let stamp = job.stamp;
+                        if let Some(spec) = read_value::<Spec>(&job.path, job.data) {
+                            ledger.remember(Ended { spec: Arc::new(spec), stamp, fate: f });
+                        }
+                    }
+                }
+                None if ledger.open.contains_key(id) || self.ended.contains(id) => {}
+                None => {
+                    if let Some(spec) = read_value::<Spec>(&job.path, job.data) {
+                        let spec = Arc::new(spec);
+                        if ledger.seen(spec.clone(), job.stamp) {
+                            news(News::Open(Open { spec, stamp: job.stamp }));
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// What a sweep brings that was not known.
+#[derive(Debug, Clone, PartialEq)]
+pub enum News {
+    /// An unfinished job.
+    Open(Open),
+    /// A job that was unfinished here has ended.
+    Ended(Name, Fate),
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod intake;
 pub mod leader;
 pub mod leadership;
+pub mod ledger;
 pub mod model;
 pub mod node;
 pub mod peers;
--- a/src/model.rs
+++ b/src/model.rs
@@ -228,6 +228,13 @@
     }
 }
 
+/// The stored value of a job's end.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct FateRecord {
+    /// How it ended.
+    pub fate: Fate,
+}
+
 /// One task of a job.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Task {
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,7 +1,7 @@
 //! One controller: the state its slices share, behind a short lock, and the
 //! loops that connect the slices to the world.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::future::Future;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -9,28 +9,17 @@
 use futures_lite::future::or;
 
 use crate::cluster::{Cluster, TeamLimit};
-use crate::commit::FateRecord;
 use crate::config::Config;
 use crate::http;
 use crate::intake::Intake;
 use crate::leadership::{Authority, LeaderRecord};
+use crate::ledger::{Ledger, News, Sweep};
 use crate::model::*;
 use crate::placement::Want;
 use crate::policy::Policy;
-use crate::store::{key, read_value, Budget, Event, Store};
+use crate::store::{key, read_value, Budget, Error, Event, Item, Store};
 use crate::telemetry::Telemetry;
 
-/// A job as every controller knows it.
-#[derive(Debug, Clone)]
-pub struct Known {
-    /// The submission.
-    pub spec: Arc<Spec>,
-    /// Stamp of its record.
-    pub stamp: u64,
-    /// Its end.
-    pub fate: Option<Fate>,
-}
-
 /// The leader as seen in the store.
 #[derive(Debug, Clone)]
 pub struct LeaderSeen {
@@ -41,10 +30,9 @@
 }
 
 /// What the slices share.
-#[derive(Default)]
 pub struct Inner {
     /// Jobs by id.
-    pub jobs: HashMap<Name, Known>,
+    pub ledger: Ledger,
     /// The watch has caught up once.
     pub synced: bool,
     /// Revision up to which the watch has been seen.
@@ -93,6 +81,24 @@
 }
 
 impl Inner {
+    /// Nothing is known yet; the ledger will keep so many ended jobs.
+    pub fn new(ended_kept: usize) -> Inner {
+        Inner {
+            ledger: Ledger::new(ended_kept),
+            synced: false,
+            epoch: 0,
+            leader: None,
+            authority: None,
+            cluster: None,
+            types: Vec::new(),
+            wants: Vec::new(),
+            foreign: None,
+            heard: None,
+            pulse: None,
+            next_pass: None,
+        }
+    }
+
     /// Whether this controller leads and its lease still lasts.
     pub fn acts(&self, now: Instant) -> bool {
         self.authority.is_some_and(|a| now < a.until)
@@ -176,13 +182,15 @@
         let most_idle = policy.direct_calls;
         let policy = Arc::new(policy);
         let rps = config.deployment.cloud.rps;
-        let store = Store::new(config.services.state, &config.deployment.state, now);
+        let limits = &config.deployment.state;
+        let store = Store::new(config.services.state, limits, limits.rps * policy.read_share, now);
+        let lookups = limits.rps * policy.lookup_share;
         Node {
+            inner: Mutex::new(Inner::new(policy.ended_kept)),
             policy,
             store,
             cloud: http::Client::default(),
             cloud_calls: Mutex::new(Budget::new(rps * 0.7, rps * 1.4, now)),
-            inner: Mutex::default(),
             to_place: Wake::default(),
             to_commit: Wake::default(),
             peers: crate::peers::Peers::new(&config.siblings),
@@ -190,7 +198,7 @@
             to_command: Wake::default(),
             stored: event_listener::Event::new(),
             to_lead: Wake::default(),
-            intake: Intake::default(),
+            intake: Intake::new(lookups, now),
             telemetry: Telemetry::default(),
             config,
         }
@@ -232,24 +240,37 @@
         self.config.deployment.teams.iter().map(team).collect()
     }
 
-    /// A job seen in the store.
+    /// A job that the watch shows.
     pub fn learn_job(&self, spec: Arc<Spec>, stamp: u64, now: Instant) {
         let mut i = self.lock();
-        let known = i.jobs.entry(spec.id.clone()).or_insert(Known { spec, stamp, fate: None }).clone();
+        if i.ledger.seen(spec.clone(), stamp) {
+            self.opened(&mut i, spec, stamp, now);
+        }
+    }
+
+    /// A job that a transaction of this controller's has stored.
+    pub fn stored_job(&self, spec: Arc<Spec>, stamp: u64, now: Instant) {
+        let mut i = self.lock();
+        if i.ledger.stored(spec.clone(), stamp) {
+            self.opened(&mut i, spec, stamp, now);
+        }
+    }
+
+    fn opened(&self, i: &mut Inner, spec: Arc<Spec>, stamp: u64, now: Instant) {
         if let Some(c) = i.cluster.as_mut() {
-            if known.fate.is_none() {
-                c.add_job(known.spec, known.stamp, None, now);
-                self.to_place.wake();
-            }
+            c.add_job(spec, stamp, None, now);
+            self.to_place.wake();
         }
     }
 
     /// A job's end, as stored.
     pub fn learn_fate(&self, id: &str, fate: Fate, now: Instant) {
         let mut i = self.lock();
-        if let Some(k) = i.jobs.get_mut(id) {
-            k.fate = Some(fate);
-        }
+        i.ledger.ends(id, fate);
+        self.closed(&mut i, id, fate, now);
+    }
+
+    fn closed(&self, i: &mut Inner, id: &str, fate: Fate, now: Instant) {
         if let Some(c) = i.cluster.as_mut() {
             c.set_fate(id, fate, now);
             self.to_place.wake();
@@ -293,14 +314,11 @@
         }
     }
 
-    fn caught_up(&self, epoch: u64, leads: bool) {
+    fn caught_up(&self, epoch: u64) {
         let mut inner = self.lock();
-        if !leads {
-            inner.leader = None;
-        }
         inner.epoch = inner.epoch.max(epoch);
         if !inner.synced {
-            log::info!("caught up with the store at {epoch}, {} jobs", inner.jobs.len());
+            log::info!("caught up with the store at {epoch}, {} unfinished jobs", inner.ledger.len());
         }
         inner.synced = true;
         self.to_lead.wake();
@@ -320,6 +338,85 @@
         }
     }
 
+    /// Reads all that is unfinished, and returns the revision to watch from.  Memory is taken for what is unfinished and for a page at a time,
+    /// whatever the history.
+    async fn catch_up(&self) -> Result<u64, Error> {
+        let first = !self.lock().synced;
+        let page = self.store.page(key::LEADER, "").await?;
+        let epoch = page.epoch;
+        let seen = |i: Item| self.event(Event { set: Some(i.path), delete: None, data: Some(i.data), stamp: i.stamp });
+        {
+            let mut i = self.lock();
+            i.ledger.begins(epoch);
+            if page.rows.is_empty() {
+                i.leader = None;
+            }
+        }
+        page.rows.into_iter().for_each(seen);
+        self.store.get(key::TYPES).await?.into_iter().for_each(seen);
+        // ended jobs whose tasks may still be somewhere: a controller that
+        // leads soon would have to read them one by one
+        let mut wanted = HashSet::new();
+        if first {
+            for item in self.store.list(key::PAGE).await? {
+                wanted.extend(crate::commit::jobs_of_page(&item));
+            }
+        }
+        let mut sweep = Sweep::new(wanted);
+        let (mut since, mut looked) = (epoch, Instant::now());
+        while let Some(need) = sweep.need() {
+            match self.store.page(need.under, &need.since).await {
+                Ok(page) => sweep.page(need.under, page.rows, page.truncated),
+                // only this page is read again: a long read has to come to its
+                // end though the service fails now and then
+                Err(e) => {
+                    log::debug!("a page of {}: {e}", need.under);
+                    smol::Timer::after(self.policy.renew / 2).await;
+                }
+            }
+            self.enter(&mut sweep);
+            // the service keeps a limited number of changes: a read that takes
+            // longer than they last would begin again and again
+            if looked.elapsed() > self.policy.renew {
+                looked = Instant::now();
+                match self.store.changes(key::WATCHED, since, Duration::ZERO).await {
+                    Ok((news, epoch)) => {
+                        let ended = |e: &Event| Some(Name::from(e.set.as_ref()?.strip_prefix(key::FATE)?));
+                        sweep.ended(news.iter().filter_map(ended));
+                        since = self.changed(news, epoch.max(since));
+                    }
+                    Err(Error::Gone) => return Err(Error::Gone),
+                    Err(e) => log::debug!("watch: {e}"),
+                }
+            }
+        }
+        Ok(since)
+    }
+
+    /// Takes what the sweep has at hand into the ledger and to the leader.
+    fn enter(&self, sweep: &mut Sweep) {
+        let (mut guard, now) = (self.lock(), Instant::now());
+        let i = &mut *guard;
+        let mut news = Vec::new();
+        sweep.enter(&mut i.ledger, |n| news.push(n));
+        for n in news {
+            match n {
+                News::Open(o) => self.opened(i, o.spec, o.stamp, now),
+                News::Ended(id, fate) => self.closed(i, &id, fate, now),
+            }
+        }
+    }
+
+    /// Changes up to a revision, in their order and with no await between them:
+    /// the ledger's floor is the last one's.
+    fn changed(&self, news: Vec<Event>, epoch: u64) -> u64 {
+        for e in news {
+            self.event(e);
+        }
+        self.lock().ledger.begins(epoch);
+        epoch
+    }
+
     /// Keeps up with the store for as long as the controller runs.  Returns
     /// only if the store is not for this version.
     pub async fn watch(&self) -> &'static str {
@@ -329,39 +426,27 @@
         }
         let block = Duration::from_secs_f64(self.policy.ttl.as_secs_f64() * 1.5);
         loop {
-            match self.store.list(key::WATCHED).await {
-                Ok((items, epoch)) => {
-                    let leads = items.iter().any(|i| i.path == key::LEADER);
-                    // jobs before their ends
-                    let (fates, rest): (Vec<_>, Vec<_>) =
-                        items.into_iter().partition(|i| i.path.starts_with(key::FATE));
-                    for i in rest.into_iter().chain(fates) {
-                        self.event(Event { set: Some(i.path), delete: None, data: Some(i.data), stamp: i.stamp });
-                    }
-                    self.caught_up(epoch, leads);
-                    let mut since = epoch;
-                    loop {
-                        match self.store.changes(key::WATCHED, since, block).await {
-                            Ok((news, epoch)) => {
-                                // jobs before their ends, as in the list
-                                for e in news {
-                                    self.event(e);
-                                }
-                                since = epoch.max(since);
-                                let mut inner = self.lock();
-                                inner.epoch = inner.epoch.max(since);
-                            }
-                            Err(crate::store::Error::Gone) => break,
-                            Err(e) => {
-                                log::debug!("watch: {e}");
-                                smol::Timer::after(self.policy.renew / 2).await;
-                            }
-                        }
-                    }
-                }
+            let mut since = match self.catch_up().await {
+                Ok(epoch) => epoch,
                 Err(e) => {
                     log::debug!("cannot read the store yet: {e}");
                     smol::Timer::after(self.policy.renew / 2).await;
+                    continue;
+                }
+            };
+            self.caught_up(since);
+            loop {
+                match self.store.changes(key::WATCHED, since, block).await {
+                    Ok((news, epoch)) => {
+                        since = self.changed(news, epoch.max(since));
+                        let mut i = self.lock();
+                        i.epoch = i.epoch.max(since);
+                    }
+                    Err(Error::Gone) => break,
+                    Err(e) => {
+                        log::debug!("watch: {e}");
+                        smol::Timer::after(self.policy.renew / 2).await;
+                    }
                 }
             }
         }
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -342,7 +342,7 @@
     ) -> Result<tonic::Response<wire::RelayResponse>, tonic::Status> {
         let r = r.into_inner();
         // answered here or not at all: a relayed request is not relayed again
-        let a = self.0.user(&Request { method: r.method, path: r.path, body: r.body }).await;
+        let a = self.0.user(&Request { method: r.method, path: r.path, query: String::new(), body: r.body }).await;
         Ok(tonic::Response::new(wire::RelayResponse {
             status: a.status.into(),
             body: a.body,
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -95,6 +95,14 @@
     ttl: Duration as Duration, 0.5 ..= 600.0;
     /// Interval of renewals.
     renew: Duration as Duration, 0.05 ..= 300.0;
+    /// Share of the state service's requests that one controller's reads of
+    /// many pages may take.
+    read_share: f64 as f64, 0.001 ..= 1.0;
+    /// Share of the state service's requests that one controller's queries for
+    /// jobs it does not know may take.
+    lookup_share: f64 as f64, 0.001 ..= 1.0;
+    /// Ended jobs that a controller keeps in memory.
+    ended_kept: usize as usize, 1.0 ..= 10000000.0;
     /// A machine is used while its newest report is younger than this.
     fresh: Duration as Duration, 0.1 ..= 3600.0;
     /// A machine silent for so long is returned, and its tasks replaced.
@@ -202,6 +210,7 @@
     ("missed > workers.report_s * 1.3", "a report may be late by a quarter"),
     ("fresh < silent", "a machine is avoided before it is given up"),
     ("silent < workers.lease_s", "tasks of a silent machine are replaced before they kill themselves"),
+    ("read_share * size + lookup_share * size < 1", "renewals and transactions need their part of the requests"),
     ("deaf_alone > workers.report_s", "one report interval of quiet is ordinary"),
     ("stood_still > renew", "the pulse beats twice between renewals"),
     ("cut_after < workers.lease_s / 2", "a zone's leases must not run out before they are renewed"),
--- a/src/sim/mod.rs
+++ b/src/sim/mod.rs
@@ -4,6 +4,7 @@
 //! simulated; nothing here sleeps or opens a socket.
 
 mod controllers;
+mod history;
 mod machines;
 mod rules;
 mod service;
@@ -13,7 +14,7 @@
 use std::time::{Duration, Instant};
 
 use crate::cluster::{Cluster, Stage, TeamLimit};
-use crate::commit::{read_page, Batch, FateRecord};
+use crate::commit::{read_page, Batch};
 use crate::config::Config;
 use crate::fleet::Listed;
 use crate::model::*;
--- a/src/store.rs
+++ b/src/store.rs
@@ -151,13 +151,17 @@
     #[serde(default)]
     epoch: u64,
 }
-#[derive(Deserialize)]
-struct Page {
-    rows: Vec<Item>,
+/// A page of keys with a prefix.
+#[derive(Debug, Deserialize)]
+pub struct Page {
+    /// Keys in their order.
+    pub rows: Vec<Item>,
+    /// There are more.
     #[serde(default)]
-    truncated: bool,
+    pub truncated: bool,
+    /// Revision that the page is of.
     #[serde(default)]
-    epoch: u64,
+    pub epoch: u64,
 }
 #[derive(Deserialize)]
 struct Changes {
@@ -231,6 +235,14 @@
     pub fn new(rate: f64, burst: f64, now: Instant) -> Budget {
         Budget { rate, burst, have: burst, at: now }
     }
+    /// Takes `n` if there is that much.
+    pub fn try_take(&mut self, n: f64, now: Instant) -> bool {
+        let fits = self.take(n, now).is_zero();
+        if !fits {
+            self.have += n;
+        }
+        fits
+    }
     /// Takes `n`, going into debt if need be; how long to wait first.
     pub fn take(&mut self, n: f64, now: Instant) -> Duration {
         self.have = (self.have + now.duration_since(self.at).as_secs_f64() * self.rate).min(self.burst);
@@ -261,6 +273,7 @@
     http: http::Client,
     calls: Mutex<Budget>,
     writes: Mutex<Budget>,
+    reads: Mutex<Budget>,
     /// What one transaction may hold.
     pub most: TxnLimits,
     last_served: Mutex<Instant>,
@@ -271,12 +284,17 @@
 /// A transaction has 64 KiB in all, with conditions and ends beside the page.
 const MOST_PAGE: usize = 32 * 1024;
 
+/// Most keys that the service puts into one page.
+const MOST_ROWS: usize = 1000;
+
 /// How long an ordinary request may take.
 const LIMIT: Duration = Duration::from_millis(1500);
 
 impl Store {
-    /// A client that keeps to this controller's share of the limits.
-    pub fn new(addr: SocketAddr, limits: &Limits, now: Instant) -> Store {
+    /// A client that keeps to this controller's share of the limits.  Reads of
+    /// many pages keep to `read_rate` requests a second: however long they are,
+    /// they leave room for renewals and transactions, here and elsewhere.
+    pub fn new(addr: SocketAddr, limits: &Limits, read_rate: f64, now: Instant) -> Store {
         // the leader writes most, and only one controller leads: each may use
         // a bit over half, and the service's 429 settles the rest
         let (calls, writes) = (limits.rps * 0.5, limits.write_rps * 0.55);
@@ -286,6 +304,7 @@
             http: http::Client::default(),
             calls: Mutex::new(Budget::new(calls, calls, now)),
             writes: Mutex::new(Budget::new(writes, writes, now)),
+            reads: Mutex::new(Budget::new(read_rate, read_rate, now)),
             most: TxnLimits {
                 writes: most_writes,
                 guards: limits.txn_ops * 4,
@@ -391,25 +410,32 @@
         }
     }
 
-    /// All keys with a prefix, and the revision of the *first* page: what
-    /// changes while the pages are read is seen again by a watch from there.
-    pub async fn list(&self, prefix: &str) -> Result<(Vec<Item>, u64), Error> {
-        let (mut all, mut epoch, mut after) = (Vec::new(), None, String::new());
+    /// Some keys with a prefix, after one of them or from the first, within the
+    /// rate for reads of many pages.
+    pub async fn page(&self, prefix: &str, since: &str) -> Result<Page, Error> {
+        let wait = self.reads.lock().unwrap_or_else(|e| e.into_inner()).take(1.0, Instant::now());
+        if !wait.is_zero() {
+            smol::Timer::after(wait).await;
+        }
+        self.pace(0).await;
+        let since = if since.is_empty() { String::new() } else { format!("&since={since}") };
+        let target = format!("/kv?under={prefix}{since}&page={MOST_ROWS}");
+        match self.call("GET", &target, None, LIMIT * 2).await? {
+            (200, body) => Ok(http::decode(&body)?),
+            (s, _) => Err(Error::Refused(s)),
+        }
+    }
+
+    /// All keys with a prefix; for what is bounded by the work at hand.
+    pub async fn list(&self, prefix: &str) -> Result<Vec<Item>, Error> {
+        let (mut all, mut after) = (Vec::new(), String::new());
         loop {
-            self.pace(0).await;
-            let since = if after.is_empty() { String::new() } else { format!("&since={after}") };
-            let target = format!("/kv?under={prefix}{since}&page=500");
-            let (status, body) = self.call("GET", &target, None, LIMIT * 2).await?;
-            if status != 200 {
-                return Err(Error::Refused(status));
-            }
-            let page: Page = http::decode(&body)?;
-            epoch.get_or_insert(page.epoch);
+            let page = self.page(prefix, &after).await?;
             let last = page.rows.last().map(|r| r.path.clone());
             all.extend(page.rows);
             match last {
                 Some(l) if page.truncated => after = l,
-                _ => return Ok((all, epoch.unwrap_or(0))),
+                _ => return Ok(all),
             }
         }
     }
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -50,6 +50,8 @@
     pub refused: AtomicU64,
     /// … that a sibling answered.
     pub relayed: AtomicU64,
+    /// Queries for ids not known here that were refused: too many at once.
+    pub lookups_refused: AtomicU64,
     /// Reports taken in.
     pub reports: AtomicU64,
     /// Reports answered only to renew a lease.
@@ -179,8 +181,11 @@
     pub leader: Option<String>,
     /// The state service carries out this controller's requests.
     pub served: bool,
-    /// Jobs known here, over or not.
+    /// Unfinished jobs known here.
     pub known_jobs: usize,
+    /// Ended jobs kept in memory; the others are read when asked for.
+    #[serde(default)]
+    pub ended_jobs: usize,
     /// Set on the leader.
     pub leading: Option<Figures>,
     /// Counters.
@@ -245,6 +250,7 @@
             ("requests", &c.requests),
             ("refused", &c.refused),
             ("relayed", &c.relayed),
+            ("lookups refused", &c.lookups_refused),
             ("reports", &c.reports),
             ("kept alive", &c.kept_alive),
             ("direct calls", &c.direct),
@@ -256,7 +262,8 @@
             version: env!("CARGO_PKG_VERSION").into(),
             leader: i.leader.as_ref().map(|l| l.record.name.clone()),
             served: !self.store.failing(),
-            known_jobs: i.jobs.len(),
+            known_jobs: i.ledger.len(),
+            ended_jobs: i.ledger.ended(),
             leading,
             counters: counters.iter().map(|(n, c)| ((*n).to_owned(), c.load(Ordering::Relaxed))).collect(),
             latencies: self.telemetry.latencies(),
