Workers' connections are closed with the answer where sockets are scarce

Change: from scarce_share of the connections on, an answer to a report closes its own; users keep theirs.

--- a/benches/history/state.rs
+++ b/benches/history/state.rs
@@ -246,6 +246,7 @@
     let ex = Rc::new(smol::LocalExecutor::new());
     let limits = ServerLimits {
         connections: 1000,
+        scarce: 1000,
         idle: Duration::from_secs(600),
         arrive: Duration::from_secs(60),
         answer: Duration::from_secs(600),
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -176,9 +176,13 @@
 /// Runs a controller on this thread.
 fn daemon(config: Config, policy: Policy) -> std::io::Result<()> {
     let ex = Rc::new(smol::LocalExecutor::new());
+    // sockets are left for the state service, the cloud and siblings, and for
+    // direct commands to workers
+    let most = config.deployment.quota.fd_limit;
+    let connections = most.saturating_sub(64 + policy.direct_calls).max(16);
     let limits = ServerLimits {
-        // sockets are left for the state service, the cloud and siblings
-        connections: config.deployment.quota.fd_limit.saturating_sub(64).clamp(16, 4000),
+        connections,
+        scarce: (connections as f64 * policy.scarce_share) as usize,
         idle: policy.connection_idle,
         arrive: Duration::from_secs(10),
         // the most patient are users that submit
--- a/src/http.rs
+++ b/src/http.rs
@@ -82,6 +82,9 @@
     pub body: Vec<u8>,
     /// Seconds for `Retry-After`, where the peer should come back later.
     pub retry_after: Option<u32>,
+    /// The peer will not ask again for a while: where connections are scarce,
+    /// its own is closed with this answer.
+    pub seldom: bool,
 }
 
 #[derive(Serialize)]
@@ -92,7 +95,7 @@
 impl Response {
     /// An answer with a body.
     pub fn new<T: Serialize>(status: u16, body: &T) -> Self {
-        Response { status, body: encode(body), retry_after: None }
+        Response { status, body: encode(body), retry_after: None, seldom: false }
     }
     /// A refusal with a short reason.
     pub fn refuse(status: u16, reason: &str) -> Self {
@@ -256,6 +259,10 @@
 pub struct ServerLimits {
     /// Connections open at once; further ones are closed at once.
     pub connections: usize,
+    /// From so many on, those whose peers ask seldom are closed as they are
+    /// answered: there may be more of them than connections, and each has to
+    /// get its turn.
+    pub scarce: usize,
     /// How long a connection may stay idle between requests.
     pub idle: Duration,
     /// How long one request may take to arrive in full.
@@ -414,8 +421,9 @@
             return Ok(());
         }
         deadline.within(limits.arrive);
-        send_response(&mut s, &r, head.close).await?;
-        if head.close {
+        let close = head.close || r.seldom && deadline.all.len() >= limits.scarce;
+        send_response(&mut s, &r, close).await?;
+        if close {
             return Ok(());
         }
     }
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -165,7 +165,9 @@
     pub async fn handle(self: Arc<Self>, r: Request) -> Response {
         match (r.method.as_str(), r.path.as_str()) {
             ("GET", "/healthz") => self.health(),
-            ("POST", "/hello") => self.hello(&r.body).await,
+            // a worker comes once in a report interval, and there may be more
+            // workers than sockets
+            ("POST", "/hello") => Response { seldom: true, ..self.hello(&r.body).await },
             ("GET", "/v2/status") => Response::new(200, &self.status(Instant::now())),
             (_, "/healthz" | "/hello" | "/v2/status") => Response::refuse(405, "wrong method"),
             _ => {
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -289,7 +289,7 @@
             if let Some(a) = answer.filter(|a| a.status != 503 && (200..600).contains(&a.status)) {
                 crate::telemetry::count(&self.telemetry.counters.relayed);
                 let retry_after = (a.retry_after_s > 0).then_some(a.retry_after_s);
-                return Some(Response { status: a.status as u16, body: a.body, retry_after });
+                return Some(Response { status: a.status as u16, body: a.body, retry_after, seldom: false });
             }
         }
         None
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -172,6 +172,9 @@
     /// How long an idle user's or worker's connection is kept, and how long a
     /// request may take to arrive.
     connection_idle: Duration as Duration, 1.0 ..= 3600.0;
+    /// Share of the connections from which on workers' are closed between
+    /// their reports, so that users find one.
+    scarce_share: f64 as f64, 0.01 ..= 1.0;
     /// How long queries wait for one another, to be confirmed together.
     confirm_gap: Duration as Duration, 0.0 ..= 1.0;
     /// How long a machine that is gone is remembered.
