A cut zone without a controller: its replicas are given up with their leases

Cause: nobody renews the leases in such a zone, and replacements waited for its return. Change: once a machine there has been silent for a lease, it is deleted if it holds replicas; the cloud's answer is the proof. Controllers tell one another when a machine last reported, so that a new leader need not count from its own beginning.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -369,6 +369,8 @@
     pub samples: u32,
     /// Images it holds, the most recently used last.
     pub images: Vec<(Name, f64)>,
+    /// Its last report, as far as the forerunner had told.
+    pub heard: Option<Instant>,
 }
 
 /// Everything a leader knows.
@@ -389,6 +391,9 @@
     pub wait_aims: HashMap<Name, f64>,
     /// Teams' limits.
     pub teams: HashMap<Name, TeamLimit>,
+    /// Zones with a controller inside, which renews the leases there when the
+    /// zone is cut off.
+    pub manned: BTreeSet<Name>,
     /// When this leader began.
     pub began: Instant,
     /// Since when this controller has not stood still; no silence of others
@@ -449,6 +454,7 @@
             policy,
             wait_aims: HashMap::new(),
             teams,
+            manned: BTreeSet::new(),
             began: now,
             awake: now,
             fleet: crate::fleet::Fleet::default(),
@@ -672,6 +678,21 @@
         used
     }
 
+    /// For how long a machine has been silent.  Of one that has not reported in
+    /// this term, what the forerunner told counts, once those that can report
+    /// have had the time to; a gap of this controller's own counts for nothing.
+    pub fn silence(&self, m: &Machine, now: Instant) -> Duration {
+        let told = || self.learned.get(&m.name).and_then(|l| l.heard);
+        let own = self.awake > self.began;
+        let waited = now.duration_since(self.began.max(self.awake)) > self.policy.missed;
+        let since = match m.heard {
+            Some(t) => t.max(self.awake),
+            None if waited && !own => told().unwrap_or(self.began.max(m.known)),
+            None => self.began.max(m.known).max(self.awake),
+        };
+        now.saturating_duration_since(since)
+    }
+
     /// Forgets jobs that are over and nowhere any more, and machines long
     /// gone whose record is gone too.
     pub fn tidy(&mut self, now: Instant) {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -340,8 +340,9 @@
         let mut free = self.free_room(now);
         free.take(&self.headroom_size());
         let bare = |size: &Size| Size { memory: 0.0, ..*size };
-        let (began, awake) = (self.began, self.awake);
-        let quiet = |m: &Machine| now.duration_since(m.heard.unwrap_or(began.max(m.known)).max(awake));
+        let silences: HashMap<Name, Duration> =
+            self.machines.values().map(|m| (m.name.clone(), self.silence(m, now))).collect();
+        let quiet = |m: &Machine| silences.get(&m.name).copied().unwrap_or_default();
         let up = |m: &&Machine| {
             m.gone.is_none() && (m.heard.is_some() || m.stage == Some(Stage::Running) || !m.tasks.is_empty())
         };
@@ -392,6 +393,15 @@
                 (now.duration_since(m.rented) > boot_limit && silence > policy.fresh).then_some("does not come up")
             } else if silence > policy.silent && !everywhere && !cut.contains(&m.zone) {
                 Some("is silent")
+            } else if silence > policy.lease_over
+                && !everywhere
+                && cut.contains(&m.zone)
+                && !self.manned.contains(&m.zone)
+                && m.tasks.values().any(|p| p.present() && p.spec.shape == Shape::Service)
+            {
+                // nobody inside renews its lease: its replicas are lost by now,
+                // and only a deletion proves it
+                Some("is cut off, and its lease has run out")
             } else if m.drain.is_some() && m.tasks.is_empty() {
                 m.drain
             } else if m.idle.is_some_and(|t| now.duration_since(t) > idle)
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -149,6 +149,8 @@
         }
         c.tidy(now);
         c.learned = self.peers.learned();
+        let zones = self.config.siblings.iter().map(|s| s.zone.as_str());
+        c.manned = zones.chain([self.config.zone.as_str()]).map(Name::from).collect();
         log::info!("term {}: {} jobs, {} machines on record", a.term, c.jobs.len(), c.machines.len());
         i.cluster = Some(c);
         Ok(())
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -19,7 +19,7 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use tonic::body::Body;
 
-use crate::cluster::Learned;
+use crate::cluster::{Learned, Machine};
 use crate::http::{Request, Response};
 use crate::model::Name;
 use crate::node::{timed, Node};
@@ -87,25 +87,30 @@
 }
 
 /// What was learned of machines, for the wire: each image once.
-fn to_wire<'a>(
-    all: impl Iterator<Item = (&'a Name, f64, u32, &'a [(Name, f64)])>,
-) -> (Vec<wire::Learned>, Vec<wire::Image>) {
+fn to_wire<'a>(all: impl Iterator<Item = (&'a Name, Learned)>, now: Instant) -> (Vec<wire::Learned>, Vec<wire::Image>) {
     let (mut machines, mut images) = (Vec::new(), Vec::new());
-    let mut known: HashMap<&Name, u32> = HashMap::new();
-    for (machine, speed, samples, held) in all.filter(|l| !l.3.is_empty() || l.2 > 0) {
-        let held = held.iter().map(|(name, gb)| {
-            *known.entry(name).or_insert_with(|| {
-                images.push(wire::Image { name: name.to_string(), gb: *gb });
+    let mut known: HashMap<Name, u32> = HashMap::new();
+    for (machine, l) in all.filter(|(_, l)| !l.images.is_empty() || l.samples > 0 || l.heard.is_some()) {
+        let held = l.images.into_iter().map(|(name, gb)| {
+            *known.entry(name).or_insert_with_key(|name| {
+                images.push(wire::Image { name: name.to_string(), gb });
                 images.len() as u32 - 1
             })
         });
         let images = held.collect();
-        machines.push(wire::Learned { machine: machine.to_string(), speed, samples, images });
+        let heard_ms = l.heard.map(|t| now.saturating_duration_since(t).as_millis() as u64);
+        machines.push(wire::Learned {
+            machine: machine.to_string(),
+            speed: l.speed,
+            samples: l.samples,
+            images,
+            heard_ms,
+        });
     }
     (machines, images)
 }
 
-fn from_wire(machines: Vec<wire::Learned>, images: &[wire::Image]) -> HashMap<Name, Learned> {
+fn from_wire(machines: Vec<wire::Learned>, images: &[wire::Image], now: Instant) -> HashMap<Name, Learned> {
     let names: Vec<(Name, f64)> = images.iter().map(|i| (i.name.as_str().into(), i.gb)).collect();
     // strange figures are no hint
     let sane = |l: &wire::Learned| l.speed.is_finite() && (0.01..=100.0).contains(&l.speed);
@@ -114,7 +119,8 @@
         .filter(sane)
         .map(|l| {
             let images = l.images.iter().filter_map(|i| names.get(*i as usize).cloned()).collect();
-            (l.machine.as_str().into(), Learned { speed: l.speed, samples: l.samples, images })
+            let heard = l.heard_ms.and_then(|ms| now.checked_sub(Duration::from_millis(ms)));
+            (l.machine.as_str().into(), Learned { speed: l.speed, samples: l.samples, images, heard })
         })
         .collect()
 }
@@ -243,7 +249,7 @@
         lock(&self.peers.seen).insert(l.name.clone(), seen);
         if progress {
             if !s.machines.is_empty() {
-                *lock(&self.peers.learned) = from_wire(s.machines, &s.images);
+                *lock(&self.peers.learned) = from_wire(s.machines, &s.images, now);
             }
             *lock(&self.peers.progress) =
                 s.jobs.into_iter().map(|j| (j.id.as_str().into(), (j.done, j.running))).collect();
@@ -355,17 +361,22 @@
         r: tonic::Request<wire::StatusRequest>,
     ) -> Result<tonic::Response<wire::StatusResponse>, tonic::Status> {
         let progress = r.into_inner().progress;
+        let now = Instant::now();
         let jobs = if progress { self.0.progress() } else { Vec::new() };
         let (machines, images) = match progress {
             false => Default::default(),
             true => match self.0.lock().cluster.as_ref() {
                 Some(c) => {
                     let up = c.machines.values().filter(|m| m.gone.is_none());
-                    to_wire(up.map(|m| (&m.name, m.speed, m.samples, &m.images[..])))
+                    let learned = |m: &Machine| {
+                        let heard = m.heard.or_else(|| c.learned.get(&m.name)?.heard);
+                        Learned { speed: m.speed, samples: m.samples, images: m.images.clone(), heard }
+                    };
+                    to_wire(up.map(|m| (&m.name, learned(m))), now)
                 }
                 None => {
                     let known = lock(&self.0.peers.learned);
-                    to_wire(known.iter().map(|(n, l)| (n, l.speed, l.samples, &l.images[..])))
+                    to_wire(known.iter().map(|(n, l)| (n, l.clone())), now)
                 }
             },
         };
@@ -389,18 +400,24 @@
         /// What one leader learned reaches the next as it was.
         #[test]
         fn learned_survives_the_wire(
-            all in prop::collection::btree_map("i-[0-9]{4}", (0.1f64..10.0, 1u32..9, prop::collection::vec(0usize..5, 0..4)), 0..20),
+            all in prop::collection::btree_map(
+                "i-[0-9]{4}",
+                (0.1f64..10.0, 1u32..9, prop::collection::vec(0usize..5, 0..4), prop::option::of(0u64..9000)),
+                0..20,
+            ),
         ) {
+            let now = Instant::now() + Duration::from_secs(10);
             let image = |i: &usize| (Name::from(format!("img-{i}")), *i as f64 + 1.0);
             let all: HashMap<Name, Learned> = all
                 .into_iter()
-                .map(|(n, (speed, samples, held))| {
-                    (n.as_str().into(), Learned { speed, samples, images: held.iter().map(image).collect() })
+                .map(|(n, (speed, samples, held, heard_ms))| {
+                    let heard = heard_ms.map(|ms| now - Duration::from_millis(ms));
+                    (n.as_str().into(), Learned { speed, samples, images: held.iter().map(image).collect(), heard })
                 })
                 .collect();
-            let (machines, images) = to_wire(all.iter().map(|(n, l)| (n, l.speed, l.samples, &l.images[..])));
+            let (machines, images) = to_wire(all.iter().map(|(n, l)| (n, l.clone())), now);
             prop_assert!(images.len() <= 5);
-            prop_assert_eq!(from_wire(machines, &images), all);
+            prop_assert_eq!(from_wire(machines, &images, now), all);
         }
     }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -107,6 +107,9 @@
     fresh: Duration as Duration, 0.1 ..= 3600.0;
     /// A machine silent for so long is returned, and its tasks replaced.
     silent: Duration as Duration, 0.1 ..= 3600.0;
+    /// The lease of a machine that was silent for so long has run out, unless a
+    /// controller in its zone renews it.
+    lease_over: Duration as Duration, 0.1 ..= 3600.0;
     /// A leader that hears no worker for so long asks whether siblings do.
     deaf: Duration as Duration, 0.1 ..= 3600.0;
     /// … and hands over after so long if no sibling answers.
