A pass looks at a bounded number of machines, and does not ask in vain twice

Cause: at three times the size one pass took longer than the leader's lease (stood still for 3.4 s, term 2 ends), as each blocked job looked for room at every machine. Change: pass_looks bounds a pass, the next one goes on; a job like one that found nothing to give way to it does not look again; machines whose work is all as urgent are left out at once.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -673,7 +673,10 @@
     pub fn usage(&self) -> HashMap<Name, Size> {
         let mut used: HashMap<Name, Size> = HashMap::new();
         for p in self.machines.values().flat_map(|m| m.tasks.values()).filter(|p| p.present()) {
-            used.entry(p.spec.team.clone()).or_default().give(&p.spec.size());
+            match used.get_mut(&p.spec.team) {
+                Some(u) => u.give(&p.spec.size()),
+                None => drop(used.insert(p.spec.team.clone(), p.spec.size())),
+            }
         }
         used
     }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -340,17 +340,15 @@
         let mut free = self.free_room(now);
         free.take(&self.headroom_size());
         let bare = |size: &Size| Size { memory: 0.0, ..*size };
-        let silences: HashMap<Name, Duration> =
-            self.machines.values().map(|m| (m.name.clone(), self.silence(m, now))).collect();
-        let quiet = |m: &Machine| silences.get(&m.name).copied().unwrap_or_default();
+        let silences: Vec<Duration> = self.machines.values().map(|m| self.silence(m, now)).collect();
         let up = |m: &&Machine| {
             m.gone.is_none() && (m.heard.is_some() || m.stage == Some(Stage::Running) || !m.tasks.is_empty())
         };
         // many of a zone, or of all, at once: that is the network, and they may
         // well be working
         let mut counts: HashMap<Option<Name>, (usize, usize)> = HashMap::new();
-        for m in self.machines.values().filter(up) {
-            let silent = usize::from(quiet(m) > policy.fresh);
+        for (m, silence) in self.machines.values().zip(&silences).filter(|(m, _)| up(m)) {
+            let silent = usize::from(*silence > policy.fresh);
             for whole in [None, Some(m.zone.clone())] {
                 let c = counts.entry(whole).or_default();
                 (c.0, c.1) = (c.0 + silent, c.1 + 1);
@@ -363,8 +361,7 @@
         let listed = self.fleet.listed;
         let needed = self.needed_idle(now);
         let mut moves: Vec<(Name, Task)> = Vec::new();
-        for m in self.machines.values_mut().filter(|m| m.gone.is_none()) {
-            let silence = quiet(m);
+        for (m, silence) in self.machines.values_mut().zip(silences).filter(|(m, _)| m.gone.is_none()) {
             // it was listed for long, and the newest list lacks it: a list that
             // is older than others would still have it, so it is gone.  No
             // proof, but reason enough to ask for one, a deletion
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -74,6 +74,8 @@
     /// Why a job waits.
     whys: Vec<(Name, &'static str)>,
     wants: Vec<Want>,
+    /// The end of the queue was not reached.
+    unfinished: bool,
 }
 
 impl Cluster {
@@ -84,6 +86,7 @@
         self.placed_after.clear();
         self.mark_guaranteed();
         let d = self.decide(now);
+        self.stir |= d.unfinished;
         for (id, why) in d.whys {
             if let Some(j) = self.jobs.get_mut(&id) {
                 j.why = why;
@@ -113,6 +116,12 @@
         let mut pass = Pass::new(self, &queue, now);
         let mut head_holds = false;
         for (at, entry) in queue.iter().enumerate() {
+            // a pass that takes too long keeps the leader from its lease: what
+            // is left of the queue is the next one's
+            if pass.looks > self.policy.pass_looks {
+                out.unfinished = true;
+                break;
+            }
             let job = entry.job;
             let ask = pass.ask(job);
             let later = || lookahead(&queue[at..], self.policy.dry_run_tasks);
@@ -335,7 +344,12 @@
         (most_wait, patience): (f64, f64),
         out: &mut Decisions,
     ) -> u32 {
+        let anywhere = most_wait.is_infinite() && patience.is_infinite();
+        if anywhere && pass.is_hopeless(ask) {
+            return 0;
+        }
         let mut options: Vec<(f64, usize)> = Vec::new();
+        pass.looks += pass.slots.len();
         for i in 0..pass.slots.len() {
             if !pass.may_make_room(ask, i) || pass.image_wait(ask, i).0 > most_wait {
                 continue;
@@ -344,6 +358,10 @@
                 options.push((cost, i));
             }
         }
+        if anywhere && options.is_empty() {
+            pass.give_up_on(ask);
+            return 0;
+        }
         let mut zones = zones.to_vec();
         let mut plan: Vec<(usize, Vec<&'a Task>)> = Vec::new();
         while (plan.len() as u32) < count {
--- a/src/placement/pass.rs
+++ b/src/placement/pass.rs
@@ -64,6 +64,18 @@
     waits: Vec<Vec<Option<(f64, bool)>>>,
     /// Tasks that this pass stops.
     stopped: HashSet<(&'a Name, &'a Task)>,
+    /// Machines looked at so far: what a pass costs.
+    pub looks: usize,
+    /// What asked for room that nothing can make: the next ones like it need
+    /// not look again, as a pass only takes room away.
+    hopeless: Vec<Hopeless<'a>>,
+}
+
+/// A job that found no machine where anything could give way to it.
+struct Hopeless<'a> {
+    job: &'a Job,
+    size: Size,
+    allowed: Vec<bool>,
 }
 
 impl<'a> Pass<'a> {
@@ -86,8 +98,8 @@
                     stopping = true;
                 } else {
                     soon.take(&p.spec.size());
-                    if !p.former {
-                        latest = latest.max(Some((p.spec.rank != Rank::Production, p.spec.rank)));
+                    if let Some(of) = c.jobs.get(&p.spec.id).filter(|_| !p.former) {
+                        latest = latest.max(Some(turn(of)));
                     }
                 }
             }
@@ -114,6 +126,8 @@
             images: HashMap::new(),
             waits: Vec::new(),
             stopped: HashSet::new(),
+            looks: 0,
+            hopeless: Vec::new(),
             slots,
         }
     }
@@ -243,6 +257,7 @@
         // start is no reason for a dear machine
         let patience = grain.max(self.c.wait_aim(ask.job).unwrap_or(0.0) * self.c.policy.image_share);
         let mut tier = (true, u64::MAX, true, u64::MAX, true);
+        self.looks += self.open.len();
         for at in 0..self.open.len() {
             let i = self.open[at];
             let s = &self.slots[i];
@@ -317,6 +332,24 @@
         }
     }
 
+    /// Whether a job like this one, but no larger and as urgent, found nothing
+    /// that could give way to it.
+    pub fn is_hopeless(&self, ask: &Ask) -> bool {
+        let like = |h: &Hopeless| {
+            turn(h.job) == turn(ask.job)
+                && h.job.guaranteed == ask.job.guaranteed
+                && h.job.spec.team == ask.job.spec.team
+                && ask.size.holds(&h.size)
+                && ask.allowed.iter().zip(&h.allowed).all(|(now, then)| *then || !*now)
+        };
+        self.hopeless.iter().any(like)
+    }
+
+    /// Nothing can give way to this job, whatever the zones.
+    pub fn give_up_on(&mut self, ask: &Ask<'a>) {
+        self.hopeless.push(Hopeless { job: ask.job, size: ask.size, allowed: ask.allowed.clone() });
+    }
+
     /// Whether a machine could make room for the job at all.
     pub fn may_make_room(&self, ask: &Ask, slot: usize) -> bool {
         let s = &self.slots[slot];
