--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -672,7 +672,10 @@
 mod tests {
     use super::*;
     use crate::commit::{Page, Start};
+    use crate::policy::Policy;
     use crate::sim::{cluster, spec};
+    use std::collections::BTreeSet;
+    use std::sync::Arc;
 
     fn on_record(c: &mut Cluster, machines: usize, zone: &str, job: &str, now: Instant) {
         let mut page = Page::default();
@@ -713,6 +716,66 @@
         assert_eq!(c.plan(&[], later).delete.len(), 5);
     }
 
+    /// Seen on an operators' day: a zone without a controller was cut, and its
+    /// replicas were missed until it came back.  Their leases end at a known
+    /// time; then a deletion proves them gone, and others take their place.
+    /// Where a controller inside renews the leases, they work on.
+    #[test]
+    fn replicas_in_a_cut_zone_are_given_up_with_their_leases() {
+        let t0 = Instant::now();
+        let service = |id| Arc::new(Spec { shape: Shape::Service, ..(*spec(id, 1000)).clone() });
+        for manned in [false, true] {
+            let mut c = cluster(2, t0);
+            let policy: Arc<Policy> = c.policy.clone();
+            c.manned = BTreeSet::from(["z1".into()]);
+            if manned {
+                c.manned.insert("z0".into());
+            }
+            c.add_job(service("j-000001"), 1, None, t0);
+            c.add_job(spec("j-000002", 1000), 2, None, t0);
+            on_record(&mut c, 10, "z0", "j-000001", t0);
+            on_record(&mut c, 10, "z0x", "j-000002", t0);
+            on_record(&mut c, 70, "z1", "j-000002", t0);
+            let zone = |m: &mut Machine| {
+                if *m.zone == *"z0x" {
+                    m.zone = "z0".into()
+                }
+            };
+            c.machines.values_mut().for_each(zone);
+            let mut plan_at = |t: Instant| {
+                for m in c.machines.values_mut().filter(|m| *m.zone == *"z1") {
+                    m.heard = Some(t);
+                }
+                c.plan(&[], t).delete
+            };
+            let end = t0 + policy.lease_over;
+            assert!(plan_at(end - Duration::from_secs(1)).is_empty(), "they may still run");
+            let gone = plan_at(end + Duration::from_millis(100));
+            // only what holds replicas: the rest may be of use again
+            assert_eq!(gone.len(), if manned { 0 } else { 10 });
+            assert!(gone.iter().all(|n| n.starts_with("i-z00")));
+        }
+    }
+
+    /// A new leader counts a machine's silence from what its forerunner told,
+    /// but not before those that can report have had the time to.
+    #[test]
+    fn silence_is_inherited() {
+        let t0 = Instant::now() + Duration::from_secs(100);
+        let mut c = cluster(2, t0);
+        c.add_job(spec("j-000001", 1000), 1, None, t0);
+        on_record(&mut c, 2, "z0", "j-000001", t0);
+        let heard = Some(t0 - Duration::from_secs(20));
+        c.learned.insert("i-z00000".into(), crate::cluster::Learned { heard, ..Default::default() });
+        let silence = |after: Duration| {
+            let of = |n: &str| c.silence(&c.machines[n], t0 + after).as_secs();
+            (of("i-z00000"), of("i-z00001"))
+        };
+        assert_eq!(silence(Duration::from_secs(1)), (1, 1));
+        let waited = c.policy.missed + Duration::from_secs(1);
+        assert_eq!(silence(waited), (20 + waited.as_secs(), waited.as_secs()));
+    }
+
     /// The silence of a controller that stood still is its own: nothing is
     /// given up for it, and what stays silent after it is.
     #[test]
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -525,4 +525,34 @@
         c.place(now);
         assert_eq!((c.jobs["j-000001"].places.len(), c.jobs["j-000002"].places.len()), (40, 10));
     }
+
+    /// Seen with four thousand machines: one pass took longer than the leader's
+    /// lease.  It stops when it has looked at so much, the next ones go on, and
+    /// nothing waits for ever.
+    #[test]
+    fn a_long_queue_takes_several_passes() {
+        let now = Instant::now();
+        let mut c = cluster(1, now);
+        for n in 0..50 {
+            up(&mut c, &format!("i-{n:02}"), now);
+        }
+        let mut policy = (*c.policy).clone();
+        policy.pass_looks = 200;
+        c.policy = Arc::new(policy);
+        for n in 0..40 {
+            c.add_job(spec(&format!("j-{n:06}"), 3), n + 1, None, now);
+        }
+        let placed = |c: &Cluster| c.jobs.values().filter(|j| j.todo.is_empty()).count();
+        c.place(now);
+        let first = placed(&c);
+        assert!((1..10).contains(&first), "{first} jobs in one pass");
+        assert!(c.stir, "another pass is due");
+        // in their order
+        assert!((0..first).all(|n| c.jobs[&*format!("j-{n:06}")].todo.is_empty()));
+        let passes = (1..100).find(|_| {
+            c.place(now);
+            placed(&c) == 40
+        });
+        assert!(passes.is_some() && !c.stir);
+    }
 }
--- a/src/sim/controllers.rs
+++ b/src/sim/controllers.rs
@@ -39,6 +39,7 @@
         let at = self.at(self.now);
         let mut c = Cluster::new(self.term, self.policy.clone(), self.teams.clone(), at);
         c.set_types(&[machine_type("t")]);
+        c.manned = (0..3).filter(|z| self.unmanned != Some(*z)).map(|z| Name::from(format!("z{z}"))).collect();
         for (spec, stamp) in self.jobs.values() {
             c.add_job(spec.clone(), *stamp, self.store.fate(&spec.id), at);
         }
--- a/src/sim/machines.rs
+++ b/src/sim/machines.rs
@@ -123,7 +123,7 @@
                 continue;
             }
             let cut = self.now < self.cut[i % 3];
-            if cut {
+            if cut && self.unmanned != Some(i % 3) {
                 let w = &mut self.workers[i];
                 (w.renewed, w.flight) = (self.now, None);
                 // it stops what it knew to be over when the cut began; what
--- a/src/sim/mod.rs
+++ b/src/sim/mod.rs
@@ -191,6 +191,8 @@
     /// Until when each zone is cut off.  A controller inside renews the
     /// leases of its workers.
     cut: [Ms; 3],
+    /// A zone without a controller inside: cut off, its leases run out.
+    unmanned: Option<usize>,
     jobs: BTreeMap<Name, (Arc<Spec>, u64)>,
     cancelled: HashMap<Name, Ms>,
     finished: HashMap<Task, Ms>,
@@ -238,6 +240,7 @@
             lists: Vec::new(),
             mistaken: std::collections::HashSet::new(),
             cut: [0; 3],
+            unmanned: seed.is_multiple_of(2).then_some(2),
             jobs: BTreeMap::new(),
             cancelled: HashMap::new(),
             finished: HashMap::new(),
