Plans of the fleet keep to a share of the processor

Cause: a plan goes through all machines every half second, however long that takes; with four thousand of them and 8.8 per cent of a core it took some 15 per cent of it (profile). Change: after a plan the next one waits for what it took over plan_share.

--- a/src/leader.rs
+++ b/src/leader.rs
@@ -448,6 +448,8 @@
                 i.wants = wants;
                 plan
             };
+            // with thousands of machines a plan takes its time too
+            due = due.max(now + now.elapsed().div_f64(self.policy.plan_share));
             self.carry_out(plan, a).await;
             self.to_place.wake();
             self.clear_rentals(a).await;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -170,6 +170,8 @@
     direct_calls: usize as usize, 1.0 ..= 100000.0;
     /// Share of the processor that passes over the queue may take.
     pass_share: f64 as f64, 0.01 ..= 1.0;
+    /// Share of the processor that plans of the fleet may take.
+    plan_share: f64 as f64, 0.01 ..= 1.0;
     /// Machines that one pass looks at, for all tasks together: what is left
     /// of the queue is the next pass's.
     pass_looks: usize as usize, 1.0 ..= 1000000000.0;
