--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -645,7 +645,14 @@
         // no more requests than the cloud takes in a second: the rest is
         // reckoned anew with what came of these
         let mut left = policy.rentals_at_once;
-        for ((kind, zone, spot), mut count) in new {
+        // a fleet that this controller cannot listen to is worth less than a
+        // smaller one: its workers run into their leases, and users find nobody
+        let here = self.machines.values().filter(|m| m.gone.is_none()).count();
+        let asked: usize = self.fleet.open.iter().map(|r| r.count as usize).sum();
+        let mut room = policy.most_machines.saturating_sub(here + asked).min(u32::MAX as usize) as u32;
+        for ((kind, zone, spot), count) in new {
+            let mut count = count.min(room);
+            room -= count;
             while count > 0 && left > 0 {
                 self.fleet.next_charter += 1;
                 let charter = format!("c-{}-{}", self.term, self.fleet.next_charter).into();
@@ -778,6 +785,28 @@
         }
     }
 
+    /// Seen at ten thousand machines on a twelfth of a core: the reports alone
+    /// took more than the leader had, and nothing was served.  No more machines
+    /// are rented than it can listen to.
+    #[test]
+    fn no_more_machines_than_can_be_listened_to() {
+        let now = Instant::now();
+        let mut c = cluster(2, now);
+        let mut policy = Policy::clone(&c.policy);
+        policy.most_machines = 12;
+        c.policy = Arc::new(policy);
+        c.set_types(&[MachineType { zones: vec!["z0".into(), "z1".into()], ..crate::sim::machine_type("t") }]);
+        c.add_job(spec("j-000001", 1000), 1, None, now);
+        on_record(&mut c, 5, "z0", "j-000001", now);
+        c.list(&[], now);
+        let want = Want { spec: spec("j-000001", 1000), count: 1000, zones: BTreeMap::new() };
+        let rented = |p: Plan| p.rent.iter().map(|r| r.count).sum::<u32>();
+        assert_eq!(rented(c.plan(std::slice::from_ref(&want), now)), 7);
+        // what was asked for counts until it is here
+        assert_eq!(rented(c.plan(std::slice::from_ref(&want), now)), 7, "the same again, under the same charters");
+        assert_eq!(c.fleet.open.iter().map(|r| r.count).sum::<u32>(), 7);
+    }
+
     /// A new leader counts a machine's silence from what its forerunner told,
     /// but not before those that can report have had the time to.
     #[test]
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -164,6 +164,8 @@
     failure_rest: Duration as Duration, 0.0 ..= 600.0;
     /// Within this a cancelled job's tasks have to be gone.
     cancel: Duration as Duration, 1.0 ..= 86400.0;
+    /// Most machines that are rented: as many as a leader can listen to.
+    most_machines: usize as usize, 1.0 ..= 100000000.0;
     /// Rentals that may be asked for at once.
     rentals_at_once: usize as usize, 1.0 ..= 1000.0;
     /// Direct commands that may be under way at once.
