--- a/src/store.rs
+++ b/src/store.rs
@@ -235,14 +235,6 @@
     pub fn new(rate: f64, burst: f64, now: Instant) -> Budget {
         Budget { rate, burst, have: burst, at: now }
     }
-    /// Takes `n` if there is that much.
-    pub fn try_take(&mut self, n: f64, now: Instant) -> bool {
-        let fits = self.take(n, now).is_zero();
-        if !fits {
-            self.have += n;
-        }
-        fits
-    }
     /// Takes `n`, going into debt if need be; how long to wait first.
     pub fn take(&mut self, n: f64, now: Instant) -> Duration {
         self.have = (self.have + now.duration_since(self.at).as_secs_f64() * self.rate).min(self.burst);
