--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -681,11 +681,15 @@
         used
     }
 
-    /// For how long a machine has been silent.  Of one that has not reported in
-    /// this term, what the forerunner told counts, once those that can report
-    /// have had the time to; a gap of this controller's own counts for nothing.
+    /// For how long a machine has been silent.  In a zone without a controller,
+    /// of one that has not reported in this term, what the forerunner told
+    /// counts, once those that can report have had the time to.  Elsewhere it
+    /// does not: a controller in a cut zone hears machines that the forerunner
+    /// did not, and a new leader once gave up two hundred of them as the cut
+    /// healed.  A gap of this controller's own counts for nothing.
     pub fn silence(&self, m: &Machine, now: Instant) -> Duration {
-        let told = || self.learned.get(&m.name).and_then(|l| l.heard);
+        let alone = !self.manned.contains(&m.zone);
+        let told = || self.learned.get(&m.name).filter(|_| alone).and_then(|l| l.heard);
         let own = self.awake > self.began;
         let waited = now.duration_since(self.began.max(self.awake)) > self.policy.missed;
         let since = match m.heard {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -824,6 +824,9 @@
         assert_eq!(silence(Duration::from_secs(1)), (1, 1));
         let waited = c.policy.missed + Duration::from_secs(1);
         assert_eq!(silence(waited), (20 + waited.as_secs(), waited.as_secs()));
+        // a controller inside may have heard it all along
+        c.manned.insert("z0".into());
+        assert_eq!(c.silence(&c.machines["i-z00000"], t0 + waited).as_secs(), waited.as_secs());
     }
 
     /// The silence of a controller that stood still is its own: nothing is
