A job read as ended is remembered in one step

Cause: remembering already takes the job from the unfinished ones, so asking first whether it was among them did the same work twice. Change: one call.

--- a/src/intake.rs
+++ b/src/intake.rs
@@ -495,11 +495,7 @@
             Some(e) => Some(read_value::<FateRecord>(&e.path, e.data).ok_or(Error::Refused(503))?.fate),
         };
         if let Some(fate) = fate {
-            let e = Ended { spec: open.spec.clone(), stamp: open.stamp, fate };
-            let mut i = self.lock();
-            if !i.ledger.ends(id, fate) {
-                i.ledger.remember(e);
-            }
+            self.lock().ledger.remember(Ended { spec: open.spec.clone(), stamp: open.stamp, fate });
         }
         Ok(Some((open, fate)))
     }
