A page that names an unreadable job keeps nobody from leading

A new leader read the jobs that pages name and that are not in memory, and asked again for ever where a record was missing or strange: nobody would ever have led. Such a record is read once a term; its starts are passed over and logged, as they were before ended jobs left memory. No answer from the store is still asked again.

Test: a page naming a missing and an unreadable job, and a refused read.

--- a/src/intake.rs
+++ b/src/intake.rs
@@ -488,11 +488,11 @@
         // the end last: it may come in between
         let Some(item) = self.store.get(&job).await? else { return Ok(None) };
         let end = self.store.get(&end).await?;
-        let spec = read_value::<Spec>(&job, item.data).ok_or(Error::Refused(503))?;
+        let spec = read_value::<Spec>(&job, item.data).ok_or(Error::Unreadable)?;
         let open = Open { spec: Arc::new(spec), stamp: item.stamp };
         let fate = match end {
             None => None,
-            Some(e) => Some(read_value::<FateRecord>(&e.path, e.data).ok_or(Error::Refused(503))?.fate),
+            Some(e) => Some(read_value::<FateRecord>(&e.path, e.data).ok_or(Error::Unreadable)?.fate),
         };
         if let Some(fate) = fate {
             self.lock().ledger.remember(Ended { spec: open.spec.clone(), stamp: open.stamp, fate });
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -49,8 +49,26 @@
 struct Stored {
     pages: Vec<(u32, Page, HashMap<Name, Whereabouts>)>,
     rentals: Vec<Item>,
-    /// Jobs that pages name and that were read one by one.
-    over: HashMap<Name, (Open, Option<Fate>)>,
+    /// Jobs that pages name and that were read one by one; `None` where the
+    /// store has no record of them, or none that can be read.
+    over: HashMap<Name, Option<(Open, Option<Fate>)>>,
+}
+
+impl Stored {
+    /// Takes in what a job that pages name was read as.  A record that is
+    /// missing or strange is read once a term: it will not get better, and
+    /// nobody would lead for it.
+    fn read(&mut self, id: Name, job: Result<Option<(Open, Option<Fate>)>, Error>) -> Result<(), Error> {
+        let job = match job {
+            Err(Error::Unreadable) => None,
+            other => other?,
+        };
+        if job.is_none() {
+            log::error!("{id} is on a page and has no record that can be read: its starts are passed over");
+        }
+        self.over.insert(id, job);
+        Ok(())
+    }
 }
 
 impl Node {
@@ -93,11 +111,10 @@
                 }
             };
             log::info!("term {}: reads {} jobs that are over and still on record", a.term, missing.len());
-            let mut reads = futures_util::stream::iter(missing.iter().map(|id| self.read_job(id))).buffer_unordered(8);
-            while let Some(job) = reads.next().await {
-                if let Some((o, fate)) = job? {
-                    stored.over.insert(o.spec.id.clone(), (o, fate));
-                }
+            let read = |id: Name| async move { (self.read_job(&id).await, id) };
+            let mut reads = futures_util::stream::iter(missing.into_iter().map(read)).buffer_unordered(8);
+            while let Some((job, id)) = reads.next().await {
+                stored.read(id, job)?;
             }
         }
     }
@@ -130,8 +147,9 @@
             }
             match (i.ledger.standing(id), stored.over.get(id)) {
                 (Standing::Ended(e), _) => c.add_job(e.spec, e.stamp, Some(e.fate), now),
-                (_, Some((o, fate))) => c.add_job(o.spec.clone(), o.stamp, *fate, now),
-                _ => {
+                (_, Some(Some((o, fate)))) => c.add_job(o.spec.clone(), o.stamp, *fate, now),
+                (_, Some(None)) => {}
+                (_, None) => {
                     missing.insert(id.clone());
                 }
             }
@@ -623,11 +641,42 @@
         assert_eq!(missing, ["j-000002".into()]);
         assert!(node.lock().cluster.is_none(), "no half of a picture");
         let open = Open { spec: spec("j-000002", 1), stamp: 2 };
-        stored.over.insert("j-000002".into(), (open, Some(Fate::Cancelled)));
+        assert!(stored.read("j-000002".into(), Ok(Some((open, Some(Fate::Cancelled))))).is_ok());
         assert!(node.take_over(a, stored, now).is_ok());
         let i = node.lock();
         let tasks = &i.cluster.as_ref().expect("it leads").machines["i-1"].tasks;
         let halted: Vec<_> = tasks.iter().map(|(t, p)| (&*t.job, p.halt.is_some())).collect();
         assert_eq!(halted, [("j-000001", false), ("j-000002", true)]);
     }
+
+    /// A page may name a job whose record is gone or can't be read: a leader
+    /// that insists on it never leads, and its successor neither.
+    #[test]
+    fn a_page_with_a_job_that_cannot_be_read_keeps_nobody_from_leading() {
+        let now = Instant::now();
+        let config = Config::parse("test", SETTINGS).expect("settings of the tests");
+        let policy = Policy::new(&config).expect("the default policy");
+        let node = Node::new(config, policy, now);
+        node.learn_job(spec("j-000001", 1), 1, now);
+        let starts = ["j-000001", "j-000002", "j-000003"].map(|job| crate::commit::Start {
+            machine: "i-1".into(),
+            task: Task { job: job.into(), index: 0 },
+            attempt: 7,
+            session: 1,
+        });
+        let page = Page { stamp: 3, starts: starts.into(), done: Vec::new() };
+        let places = HashMap::from([("i-1".into(), ("t".into(), "z0".into(), false))]);
+        let stored = Stored { pages: vec![(0, page, places)], ..Stored::default() };
+        let a = Authority { term: 2, stamp: 1, hold: 1, until: now, since: now };
+        let Err((mut stored, missing)) = node.take_over(a, stored, now) else { panic!("it leads without asking") };
+        assert_eq!(missing.len(), 2);
+        // no answer at all says nothing about the record
+        assert!(stored.read("j-000002".into(), Err(Error::Refused(503))).is_err());
+        assert!(stored.read("j-000002".into(), Err(Error::Unreadable)).is_ok());
+        assert!(stored.read("j-000003".into(), Ok(None)).is_ok());
+        assert!(node.take_over(a, stored, now).is_ok());
+        let i = node.lock();
+        let tasks = &i.cluster.as_ref().expect("it leads").machines["i-1"].tasks;
+        assert_eq!(tasks.keys().map(|t| &*t.job).collect::<Vec<_>>(), ["j-000001"]);
+    }
 }
--- a/src/store.rs
+++ b/src/store.rs
@@ -194,6 +194,9 @@
     /// The watch is too old.
     #[error("the watch is too old")]
     Gone,
+    /// The answer came, and a record in it is not what this version writes.
+    #[error("a record cannot be read")]
+    Unreadable,
 }
 
 /// What a transaction came to.
