One workspace: policy, wire and core below the daemon; the decisions' circle is cut

Programs that embed the decisions had to take the daemon with them, and cluster, commit, fleet, placement and workers imported one another.

Moves only. packages/policy has settings and expressions, packages/wire the protocol's types and HTTP, packages/core the decisions with the seeded world. In core, cluster is plain state that imports none of the steps: pages, rentals, wants and a job's turn went down to it, and the steps do not import one another. What a store's lookup asks went from intake to core; the settings and the submission of the tests to example modules.

--- /dev/null
+++ b/packages/core/src/cluster/job.rs
@@ -0,0 +1,226 @@
+//! Jobs, and the tasks of theirs that are or may be somewhere.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Instant;
+
+use crate::model::*;
+
+/// What a placed task is doing, as far as its machine has said.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// Decided; the machine has not shown it yet.
+    Ordered,
+    /// Waits for its image.
+    Pulling,
+    /// Waits for its gang.
+    Gathering,
+    /// Runs.
+    Running,
+    /// Saves.
+    Flushing,
+    /// Completed, which is not stored yet.
+    Completed,
+}
+
+/// A task that is, or may be, on a machine.
+#[derive(Debug, Clone)]
+pub struct Place {
+    /// Its job.
+    pub spec: Arc<Spec>,
+    /// The attempt.
+    pub attempt: u64,
+    /// The worker's session the start is for.
+    pub session: u64,
+    /// What it does.
+    pub phase: Phase,
+    /// The start is in the store; only then may the command leave.
+    pub stored: bool,
+    /// Order of the report whose answer last carried the start.
+    pub sent: Option<(u64, u64)>,
+    /// The stop has been sent directly; answers to reports repeat it.
+    pub halt_sent: bool,
+    /// Stop it, with this grace.
+    pub halt: Option<f64>,
+    /// When the stop was decided.
+    pub halt_since: Option<Instant>,
+    /// Placed by an earlier leader and not yet confirmed: only a report under
+    /// this term's token says anything of its absence.
+    pub former: bool,
+    /// When it was placed, or first seen.
+    pub since: Instant,
+    /// When it was first seen running.
+    pub running_since: Option<Instant>,
+}
+
+impl Place {
+    /// A start that was just decided.
+    pub fn new(spec: Arc<Spec>, attempt: u64, session: u64, now: Instant) -> Place {
+        Place {
+            spec,
+            attempt,
+            session,
+            phase: Phase::Ordered,
+            stored: false,
+            sent: None,
+            halt_sent: false,
+            halt: None,
+            halt_since: None,
+            former: false,
+            since: now,
+            running_since: None,
+        }
+    }
+
+    /// Whether it takes room, quota and its zone.
+    pub fn present(&self) -> bool {
+        self.phase != Phase::Completed
+    }
+}
+
+/// A job with what the leader knows of its tasks.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// The submission.
+    pub spec: Arc<Spec>,
+    /// Stamp of the record: the order of arrival.
+    pub stamp: u64,
+    /// Its end.
+    pub fate: Option<Fate>,
+    /// Completed and stored.
+    pub done: Ranges,
+    /// Completed, not stored yet.
+    pub finishing: Ranges,
+    /// Neither done nor placed.
+    pub todo: Ranges,
+    /// Where its tasks may be; mostly one machine a task.
+    pub places: BTreeMap<u32, Vec<Name>>,
+    /// Attempt of the gang.
+    pub attempt: u64,
+    /// Machines where a task of it failed.
+    pub failed_on: BTreeSet<Name>,
+    /// How long its completed tasks ran, on average, and how many they are.
+    pub ran: (f64, u32),
+    /// Since when it has been taken for broken, and what its probes came to.
+    pub suspect: Option<Suspect>,
+    /// Not placed before this.
+    pub wait_until: Option<Instant>,
+    /// When this leader first knew of it.
+    pub known: Instant,
+    /// It lies within its team's guarantee, as of the last pass.
+    pub guaranteed: bool,
+    /// Why it waits, for people.
+    pub why: &'static str,
+}
+
+impl Job {
+    /// A job nothing of which has run.
+    pub fn new(spec: Arc<Spec>, stamp: u64, fate: Option<Fate>, now: Instant) -> Job {
+        let todo = if fate.is_some() { Ranges::default() } else { Ranges::span(0, spec.tasks) };
+        Job {
+            spec,
+            stamp,
+            fate,
+            done: Ranges::default(),
+            finishing: Ranges::default(),
+            todo,
+            places: BTreeMap::new(),
+            attempt: 0,
+            failed_on: BTreeSet::new(),
+            ran: (0.0, 0),
+            suspect: None,
+            wait_until: None,
+            known: now,
+            guaranteed: false,
+            why: "",
+        }
+    }
+
+    /// A task of it completed, so that it is no mistake.
+    pub fn proven(&self) -> bool {
+        !self.done.is_empty() || !self.finishing.is_empty()
+    }
+
+    /// How many of its waiting tasks count: for the load, the dry run and the
+    /// fleet.  Of a job that seems broken, a probe at a time; a gang has no
+    /// smaller probe than itself.
+    pub fn waiting(&self) -> u32 {
+        let waiting = self.todo.len();
+        match self.suspect {
+            Some(_) if self.spec.shape != Shape::Gang => waiting.min(u32::from(self.places.is_empty())),
+            _ => waiting,
+        }
+    }
+
+    /// One more than the last task that was ever placed, as far as is known:
+    /// what waits below it was lost or gave way, and has waited its turn.
+    pub fn begun(&self) -> u32 {
+        let placed = self.places.last_key_value().map(|p| *p.0);
+        [placed, self.done.last(), self.finishing.last()].into_iter().flatten().max().map_or(0, |n| n + 1)
+    }
+
+    /// All its tasks completed, but its end is not stored.
+    pub fn completing(&self) -> bool {
+        self.fate.is_none()
+            && self.spec.shape != Shape::Service
+            && self.done.len() + self.finishing.len() >= self.spec.tasks
+    }
+
+    /// Its tasks that are or may be somewhere, with their machines.
+    pub fn placed(&self) -> Vec<(Name, Task)> {
+        let task = |i: &u32| Task { job: self.spec.id.clone(), index: *i };
+        self.places.iter().flat_map(|(i, l)| l.iter().map(move |m| (m.clone(), task(i)))).collect()
+    }
+
+    /// A job's turn.  Work gives way only to an earlier turn: with one order for
+    /// the queue and for giving way, nothing is stopped for work that is then
+    /// stopped for it.
+    pub fn turn(&self) -> (bool, Rank) {
+        (!self.guaranteed && self.spec.rank != Rank::Production, self.spec.rank)
+    }
+
+    /// Puts a task back into the queue if nothing keeps it from there.
+    pub fn requeue(&mut self, index: u32) {
+        if self.fate.is_none()
+            && index < self.spec.tasks
+            && !self.places.contains_key(&index)
+            && !self.done.contains(index)
+            && !self.finishing.contains(index)
+        {
+            self.todo.insert(index);
+        }
+    }
+}
+
+/// A job that seems to be broken: submitted with a mistake, it fails on every
+/// machine until its user withdraws it.
+#[derive(Debug, Clone, Copy)]
+pub struct Suspect {
+    /// When the last probe was free to start: failures of what had been
+    /// started before say nothing new.
+    pub since: Instant,
+    /// Probes that failed.
+    pub probes: u32,
+}
+
+/// Tasks that found no machine: what the fleet should grow by.
+#[derive(Debug, Clone)]
+pub struct Want {
+    /// Their job.
+    pub spec: Arc<Spec>,
+    /// How many.
+    pub count: u32,
+    /// Tasks of the job that are or may be in each zone already.
+    pub zones: BTreeMap<Name, u32>,
+}
+
+/// Whether one more task of the job may be in this zone.
+pub fn zone_ok(spec: &Spec, zone: &Name, zones: &BTreeMap<Name, u32>) -> bool {
+    if spec.one_zone && zones.iter().any(|(z, n)| *n > 0 && z != zone) {
+        return false;
+    }
+    zones.get(zone).copied().unwrap_or(0) < spec.zone_cap()
+}
+
+/// Why a job that fails everywhere waits.
+pub const SUSPECT: &str = "its tasks fail everywhere";
--- /dev/null
+++ b/packages/core/src/cluster/machine.rs
@@ -0,0 +1,178 @@
+//! Machines as the leader knows them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
+
+use serde::{Deserialize, Serialize};
+
+use super::Place;
+use crate::model::*;
+use crate::policy::Policy;
+
+/// What the cloud's list says of a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Stage {
+    /// Not up yet.
+    Booting,
+    /// Up.
+    Running,
+    /// Stopped on its own.
+    Failed,
+}
+
+/// A machine.
+#[derive(Debug, Clone)]
+pub struct Machine {
+    /// Name.
+    pub name: Name,
+    /// Type.
+    pub kind: Name,
+    /// Zone.
+    pub zone: Name,
+    /// Spot or ordinary.
+    pub spot: bool,
+    /// What it offers when empty; nothing while its type is unknown.
+    pub size: Size,
+    /// The worker's session, 0 before its first report in this term.
+    pub session: u64,
+    /// Number of the newest report.
+    pub tally: u64,
+    /// Highest token it has seen.
+    pub token: u64,
+    /// Its newest report in this term.
+    pub heard: Option<Instant>,
+    /// When the cloud takes it away.
+    pub notice: Option<Instant>,
+    /// What is, or may be, on it.
+    pub tasks: BTreeMap<Task, Place>,
+    /// Exited tasks to be reaped, with their attempts.  A page may go on
+    /// naming them: a new leader starts nothing that it finds on record, so a
+    /// reap can't be followed by the same start.
+    pub exited: BTreeMap<Task, u64>,
+    /// As listed.
+    pub stage: Option<Stage>,
+    /// When it was last seen in a list, and when first known.
+    pub listed: Option<Instant>,
+    /// When this leader first knew of it.
+    pub known: Instant,
+    /// When it was rented, as far as known.
+    pub rented: Instant,
+    /// Nothing more is placed here, and why.
+    pub drain: Option<&'static str>,
+    /// A deletion was sent: it may vanish at any time from now.
+    pub deleting: Option<Instant>,
+    /// Since when it has been empty.
+    pub idle: Option<Instant>,
+    /// Images it holds, the most recently used last.
+    pub images: Vec<(Name, f64)>,
+    /// Jobs that failed here and nowhere else.
+    pub blamed: BTreeSet<Name>,
+    /// Not used before this, after a failure.
+    pub rest_until: Option<Instant>,
+    /// Its speed, as observed, and by how many tasks.
+    pub speed: f64,
+    /// Tasks observed.
+    pub samples: u32,
+    /// Where its worker takes direct commands.
+    pub address: Option<std::net::SocketAddr>,
+    /// Its own part of the token; raising it kills every command in flight.
+    pub fence: u64,
+    /// Token of direct starts that were not answered (yet): they may be
+    /// carried out at any time until the worker has seen a higher token.
+    pub doubt: Option<u64>,
+    /// A direct command is under way.
+    pub flying: bool,
+    /// An answer to its report waits for the store and will carry commands.
+    pub answering: bool,
+    /// Proved to be gone.  The entry stays for a while, so that a report
+    /// delivered late does not bring the machine back.
+    pub gone: Option<Instant>,
+}
+
+impl Machine {
+    /// A machine of which little is known.
+    pub fn new(name: Name, kind: Name, zone: Name, spot: bool, now: Instant) -> Machine {
+        Machine {
+            name,
+            kind,
+            zone,
+            spot,
+            size: Size::default(),
+            session: 0,
+            tally: 0,
+            token: 0,
+            heard: None,
+            notice: None,
+            tasks: BTreeMap::new(),
+            exited: BTreeMap::new(),
+            stage: None,
+            listed: None,
+            known: now,
+            rented: now,
+            drain: None,
+            deleting: None,
+            idle: Some(now),
+            images: Vec::new(),
+            blamed: BTreeSet::new(),
+            rest_until: None,
+            speed: 1.0,
+            samples: 0,
+            address: None,
+            fence: 0,
+            doubt: None,
+            flying: false,
+            answering: false,
+            gone: None,
+        }
+    }
+
+    /// Room left, with all that may be present counted.
+    pub fn free(&self) -> Size {
+        let mut free = self.size;
+        for p in self.tasks.values().filter(|p| p.present()) {
+            free.take(&p.spec.size());
+        }
+        free
+    }
+
+    /// Whether tasks may be placed here now.
+    pub fn usable(&self, now: Instant, policy: &Policy) -> bool {
+        self.session > 0
+            && self.gone.is_none()
+            && self.drain.is_none()
+            && self.deleting.is_none()
+            && self.notice.is_none()
+            && self.stage != Some(Stage::Failed)
+            && self.heard.is_some_and(|t| now.duration_since(t) < policy.fresh)
+            && self.rest_until.is_none_or(|t| t <= now)
+            && self.tasks.len() + self.exited.len() < policy.most_tasks
+    }
+
+    /// Whether it holds an image.
+    pub fn has_image(&self, image: &str) -> bool {
+        self.images.iter().any(|(n, _)| &**n == image)
+    }
+
+    /// An image was used: it becomes the most recent, the oldest make room.
+    pub fn use_image(&mut self, image: &Name, gb: f64, cache_gb: f64) {
+        self.images.retain(|(n, _)| n != image);
+        self.images.push((image.clone(), gb));
+        while self.images.len() > 1 && self.images.iter().map(|i| i.1).sum::<f64>() > cache_gb {
+            self.images.remove(0);
+        }
+    }
+}
+
+/// What was learned of a machine; a hint for the next leader.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Learned {
+    /// Its speed, as observed, and by how many tasks.
+    pub speed: f64,
+    /// Tasks observed.
+    pub samples: u32,
+    /// Images it holds, the most recently used last.
+    pub images: Vec<(Name, f64)>,
+    /// Its last report, as far as the forerunner had told.
+    pub heard: Option<Instant>,
+}
--- a/src/cluster.rs
+++ b/packages/core/src/cluster/mod.rs
@@ -9,370 +9,19 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use serde::{Deserialize, Serialize};
+mod job;
+mod machine;
+mod page;
+mod rented;
+
+pub use job::*;
+pub use machine::*;
+pub use page::*;
+pub use rented::*;
 
-use crate::commit::{Page, Start, Turn, Whereabouts};
 use crate::model::*;
 use crate::policy::Policy;
 
-/// What a placed task is doing, as far as its machine has said.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Phase {
-    /// Decided; the machine has not shown it yet.
-    Ordered,
-    /// Waits for its image.
-    Pulling,
-    /// Waits for its gang.
-    Gathering,
-    /// Runs.
-    Running,
-    /// Saves.
-    Flushing,
-    /// Completed, which is not stored yet.
-    Completed,
-}
-
-/// A task that is, or may be, on a machine.
-#[derive(Debug, Clone)]
-pub struct Place {
-    /// Its job.
-    pub spec: Arc<Spec>,
-    /// The attempt.
-    pub attempt: u64,
-    /// The worker's session the start is for.
-    pub session: u64,
-    /// What it does.
-    pub phase: Phase,
-    /// The start is in the store; only then may the command leave.
-    pub stored: bool,
-    /// Order of the report whose answer last carried the start.
-    pub sent: Option<(u64, u64)>,
-    /// The stop has been sent directly; answers to reports repeat it.
-    pub halt_sent: bool,
-    /// Stop it, with this grace.
-    pub halt: Option<f64>,
-    /// When the stop was decided.
-    pub halt_since: Option<Instant>,
-    /// Placed by an earlier leader and not yet confirmed: only a report under
-    /// this term's token says anything of its absence.
-    pub former: bool,
-    /// When it was placed, or first seen.
-    pub since: Instant,
-    /// When it was first seen running.
-    pub running_since: Option<Instant>,
-}
-
-impl Place {
-    /// A start that was just decided.
-    pub fn new(spec: Arc<Spec>, attempt: u64, session: u64, now: Instant) -> Place {
-        Place {
-            spec,
-            attempt,
-            session,
-            phase: Phase::Ordered,
-            stored: false,
-            sent: None,
-            halt_sent: false,
-            halt: None,
-            halt_since: None,
-            former: false,
-            since: now,
-            running_since: None,
-        }
-    }
-
-    /// Whether it takes room, quota and its zone.
-    pub fn present(&self) -> bool {
-        self.phase != Phase::Completed
-    }
-}
-
-/// What the cloud's list says of a machine.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Stage {
-    /// Not up yet.
-    Booting,
-    /// Up.
-    Running,
-    /// Stopped on its own.
-    Failed,
-}
-
-/// A machine.
-#[derive(Debug, Clone)]
-pub struct Machine {
-    /// Name.
-    pub name: Name,
-    /// Type.
-    pub kind: Name,
-    /// Zone.
-    pub zone: Name,
-    /// Spot or ordinary.
-    pub spot: bool,
-    /// What it offers when empty; nothing while its type is unknown.
-    pub size: Size,
-    /// The worker's session, 0 before its first report in this term.
-    pub session: u64,
-    /// Number of the newest report.
-    pub tally: u64,
-    /// Highest token it has seen.
-    pub token: u64,
-    /// Its newest report in this term.
-    pub heard: Option<Instant>,
-    /// When the cloud takes it away.
-    pub notice: Option<Instant>,
-    /// What is, or may be, on it.
-    pub tasks: BTreeMap<Task, Place>,
-    /// Exited tasks to be reaped, with their attempts.  A page may go on
-    /// naming them: a new leader starts nothing that it finds on record, so a
-    /// reap can't be followed by the same start.
-    pub exited: BTreeMap<Task, u64>,
-    /// As listed.
-    pub stage: Option<Stage>,
-    /// When it was last seen in a list, and when first known.
-    pub listed: Option<Instant>,
-    /// When this leader first knew of it.
-    pub known: Instant,
-    /// When it was rented, as far as known.
-    pub rented: Instant,
-    /// Nothing more is placed here, and why.
-    pub drain: Option<&'static str>,
-    /// A deletion was sent: it may vanish at any time from now.
-    pub deleting: Option<Instant>,
-    /// Since when it has been empty.
-    pub idle: Option<Instant>,
-    /// Images it holds, the most recently used last.
-    pub images: Vec<(Name, f64)>,
-    /// Jobs that failed here and nowhere else.
-    pub blamed: BTreeSet<Name>,
-    /// Not used before this, after a failure.
-    pub rest_until: Option<Instant>,
-    /// Its speed, as observed, and by how many tasks.
-    pub speed: f64,
-    /// Tasks observed.
-    pub samples: u32,
-    /// Where its worker takes direct commands.
-    pub address: Option<std::net::SocketAddr>,
-    /// Its own part of the token; raising it kills every command in flight.
-    pub fence: u64,
-    /// Token of direct starts that were not answered (yet): they may be
-    /// carried out at any time until the worker has seen a higher token.
-    pub doubt: Option<u64>,
-    /// A direct command is under way.
-    pub flying: bool,
-    /// An answer to its report waits for the store and will carry commands.
-    pub answering: bool,
-    /// Proved to be gone.  The entry stays for a while, so that a report
-    /// delivered late does not bring the machine back.
-    pub gone: Option<Instant>,
-}
-
-impl Machine {
-    /// A machine of which little is known.
-    pub fn new(name: Name, kind: Name, zone: Name, spot: bool, now: Instant) -> Machine {
-        Machine {
-            name,
-            kind,
-            zone,
-            spot,
-            size: Size::default(),
-            session: 0,
-            tally: 0,
-            token: 0,
-            heard: None,
-            notice: None,
-            tasks: BTreeMap::new(),
-            exited: BTreeMap::new(),
-            stage: None,
-            listed: None,
-            known: now,
-            rented: now,
-            drain: None,
-            deleting: None,
-            idle: Some(now),
-            images: Vec::new(),
-            blamed: BTreeSet::new(),
-            rest_until: None,
-            speed: 1.0,
-            samples: 0,
-            address: None,
-            fence: 0,
-            doubt: None,
-            flying: false,
-            answering: false,
-            gone: None,
-        }
-    }
-
-    /// Room left, with all that may be present counted.
-    pub fn free(&self) -> Size {
-        let mut free = self.size;
-        for p in self.tasks.values().filter(|p| p.present()) {
-            free.take(&p.spec.size());
-        }
-        free
-    }
-
-    /// Whether tasks may be placed here now.
-    pub fn usable(&self, now: Instant, policy: &Policy) -> bool {
-        self.session > 0
-            && self.gone.is_none()
-            && self.drain.is_none()
-            && self.deleting.is_none()
-            && self.notice.is_none()
-            && self.stage != Some(Stage::Failed)
-            && self.heard.is_some_and(|t| now.duration_since(t) < policy.fresh)
-            && self.rest_until.is_none_or(|t| t <= now)
-            && self.tasks.len() + self.exited.len() < policy.most_tasks
-    }
-
-    /// Whether it holds an image.
-    pub fn has_image(&self, image: &str) -> bool {
-        self.images.iter().any(|(n, _)| &**n == image)
-    }
-
-    /// An image was used: it becomes the most recent, the oldest make room.
-    pub fn use_image(&mut self, image: &Name, gb: f64, cache_gb: f64) {
-        self.images.retain(|(n, _)| n != image);
-        self.images.push((image.clone(), gb));
-        while self.images.len() > 1 && self.images.iter().map(|i| i.1).sum::<f64>() > cache_gb {
-            self.images.remove(0);
-        }
-    }
-}
-
-/// A job with what the leader knows of its tasks.
-#[derive(Debug, Clone)]
-pub struct Job {
-    /// The submission.
-    pub spec: Arc<Spec>,
-    /// Stamp of the record: the order of arrival.
-    pub stamp: u64,
-    /// Its end.
-    pub fate: Option<Fate>,
-    /// Completed and stored.
-    pub done: Ranges,
-    /// Completed, not stored yet.
-    pub finishing: Ranges,
-    /// Neither done nor placed.
-    pub todo: Ranges,
-    /// Where its tasks may be; mostly one machine a task.
-    pub places: BTreeMap<u32, Vec<Name>>,
-    /// Attempt of the gang.
-    pub attempt: u64,
-    /// Machines where a task of it failed.
-    pub failed_on: BTreeSet<Name>,
-    /// How long its completed tasks ran, on average, and how many they are.
-    pub ran: (f64, u32),
-    /// Since when it has been taken for broken, and what its probes came to.
-    pub suspect: Option<Suspect>,
-    /// Not placed before this.
-    pub wait_until: Option<Instant>,
-    /// When this leader first knew of it.
-    pub known: Instant,
-    /// It lies within its team's guarantee, as of the last pass.
-    pub guaranteed: bool,
-    /// Why it waits, for people.
-    pub why: &'static str,
-}
-
-impl Job {
-    /// A job nothing of which has run.
-    pub fn new(spec: Arc<Spec>, stamp: u64, fate: Option<Fate>, now: Instant) -> Job {
-        let todo = if fate.is_some() { Ranges::default() } else { Ranges::span(0, spec.tasks) };
-        Job {
-            spec,
-            stamp,
-            fate,
-            done: Ranges::default(),
-            finishing: Ranges::default(),
-            todo,
-            places: BTreeMap::new(),
-            attempt: 0,
-            failed_on: BTreeSet::new(),
-            ran: (0.0, 0),
-            suspect: None,
-            wait_until: None,
-            known: now,
-            guaranteed: false,
-            why: "",
-        }
-    }
-
-    /// A task of it completed, so that it is no mistake.
-    pub fn proven(&self) -> bool {
-        !self.done.is_empty() || !self.finishing.is_empty()
-    }
-
-    /// How many of its waiting tasks count: for the load, the dry run and the
-    /// fleet.  Of a job that seems broken, a probe at a time; a gang has no
-    /// smaller probe than itself.
-    pub fn waiting(&self) -> u32 {
-        let waiting = self.todo.len();
-        match self.suspect {
-            Some(_) if self.spec.shape != Shape::Gang => waiting.min(u32::from(self.places.is_empty())),
-            _ => waiting,
-        }
-    }
-
-    /// One more than the last task that was ever placed, as far as is known:
-    /// what waits below it was lost or gave way, and has waited its turn.
-    pub fn begun(&self) -> u32 {
-        let placed = self.places.last_key_value().map(|p| *p.0);
-        [placed, self.done.last(), self.finishing.last()].into_iter().flatten().max().map_or(0, |n| n + 1)
-    }
-
-    /// All its tasks completed, but its end is not stored.
-    pub fn completing(&self) -> bool {
-        self.fate.is_none()
-            && self.spec.shape != Shape::Service
-            && self.done.len() + self.finishing.len() >= self.spec.tasks
-    }
-
-    /// Its tasks that are or may be somewhere, with their machines.
-    pub fn placed(&self) -> Vec<(Name, Task)> {
-        let task = |i: &u32| Task { job: self.spec.id.clone(), index: *i };
-        self.places.iter().flat_map(|(i, l)| l.iter().map(move |m| (m.clone(), task(i)))).collect()
-    }
-
-    /// Puts a task back into the queue if nothing keeps it from there.
-    pub fn requeue(&mut self, index: u32) {
-        if self.fate.is_none()
-            && index < self.spec.tasks
-            && !self.places.contains_key(&index)
-            && !self.done.contains(index)
-            && !self.finishing.contains(index)
-        {
-            self.todo.insert(index);
-        }
-    }
-}
-
-/// A job that seems to be broken: submitted with a mistake, it fails on every
-/// machine until its user withdraws it.
-#[derive(Debug, Clone, Copy)]
-pub struct Suspect {
-    /// When the last probe was free to start: failures of what had been
-    /// started before say nothing new.
-    pub since: Instant,
-    /// Probes that failed.
-    pub probes: u32,
-}
-
-/// What was learned of a machine; a hint for the next leader.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct Learned {
-    /// Its speed, as observed, and by how many tasks.
-    pub speed: f64,
-    /// Tasks observed.
-    pub samples: u32,
-    /// Images it holds, the most recently used last.
-    pub images: Vec<(Name, f64)>,
-    /// Its last report, as far as the forerunner had told.
-    pub heard: Option<Instant>,
-}
-
 /// Everything a leader knows.
 #[derive(Debug)]
 pub struct Cluster {
@@ -400,7 +49,7 @@
     /// counts from before.
     pub awake: Instant,
     /// Rentals and what comes of them.
-    pub fleet: crate::fleet::Fleet,
+    pub fleet: Fleet,
     /// Ratio of run time to estimate, by class.
     pub bias: HashMap<Name, f64>,
     /// Something changed that placement should look at.
@@ -457,7 +106,7 @@
             manned: BTreeSet::new(),
             began: now,
             awake: now,
-            fleet: crate::fleet::Fleet::default(),
+            fleet: Fleet::default(),
             bias: HashMap::new(),
             stir: true,
             unstored: BTreeMap::new(),
@@ -574,7 +223,7 @@
         let Some(job) = self.jobs.get(&task.job) else { return };
         self.next_turn += 1;
         let start = Start { machine: machine.clone(), task: task.clone(), attempt, session };
-        self.unstored.insert((crate::placement::turn(job), self.next_turn), start);
+        self.unstored.insert((job.turn(), self.next_turn), start);
     }
 
     /// A placed task is proved to be off its machine.
--- /dev/null
+++ b/packages/core/src/cluster/page.rs
@@ -0,0 +1,34 @@
+//! Starts and completed tasks as pages of the store hold them.
+
+use crate::model::*;
+
+/// A start as pages keep it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Start {
+    /// Machine.
+    pub machine: Name,
+    /// Task.
+    pub task: Task,
+    /// Attempt.
+    pub attempt: u64,
+    /// The worker's session that the start is for.
+    pub session: u64,
+}
+
+/// A page as last written.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Page {
+    /// Stamp of its key, 0 if it is not there.
+    pub stamp: u64,
+    /// Starts.
+    pub starts: Vec<Start>,
+    /// Completed tasks by job.
+    pub done: Vec<(Name, Ranges)>,
+}
+
+/// What is known of a machine apart from its report.
+pub type Whereabouts = (Name, Name, bool);
+
+/// The order in which starts are stored: by the turn of their jobs, then as
+/// they were decided.
+pub type Turn = ((bool, Rank), u64);
--- a/src/commit.rs
+++ b/packages/core/src/commit.rs
@@ -13,33 +13,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::cluster::{Cluster, Phase};
+use crate::cluster::{Cluster, Page, Phase, Start, Turn, Whereabouts};
+use crate::key;
 use crate::model::*;
-use crate::store::{key, Guard, Item, Txn, TxnLimits, Write};
-
-/// A start as pages keep it.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Start {
-    /// Machine.
-    pub machine: Name,
-    /// Task.
-    pub task: Task,
-    /// Attempt.
-    pub attempt: u64,
-    /// The worker's session that the start is for.
-    pub session: u64,
-}
-
-/// A page as last written.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct Page {
-    /// Stamp of its key, 0 if it is not there.
-    pub stamp: u64,
-    /// Starts.
-    pub starts: Vec<Start>,
-    /// Completed tasks by job.
-    pub done: Vec<(Name, Ranges)>,
-}
+use coralnotch_wire::state::{read_value, Guard, Item, Txn, Write};
 
 /// Task, attempt, machine (as an index) and session of a start.
 type StartRecord = (u32, u64, usize, u64);
@@ -54,13 +31,10 @@
     done: Vec<(Name, Ranges)>,
 }
 
-/// What is known of a machine apart from its report.
-pub type Whereabouts = (Name, Name, bool);
-
 /// Turns a stored page into starts, with type, zone and kind of each machine.
 pub fn read_page(path: &str, item: &Item) -> Option<(u32, Page, HashMap<Name, Whereabouts>)> {
     let id = path.strip_prefix(key::PAGE)?.parse().ok()?;
-    let r: PageRecord = crate::store::read_value(path, item.data.clone())?;
+    let r: PageRecord = read_value(path, item.data.clone())?;
     let mut places = HashMap::new();
     for (name, pool) in &r.machines {
         places.insert(name.clone(), r.pools.get(*pool)?.clone());
@@ -77,7 +51,7 @@
 
 /// The jobs that a stored page names as started.
 pub fn jobs_of_page(item: &Item) -> Vec<Name> {
-    let r: Option<PageRecord> = crate::store::read_value(&item.path, item.data.clone());
+    let r: Option<PageRecord> = read_value(&item.path, item.data.clone());
     r.map(|r| r.starts.into_iter().map(|s| s.0).collect()).unwrap_or_default()
 }
 
@@ -101,6 +75,17 @@
 /// Pages looked at for one with room before a new one is made.
 const PAGES_TRIED: usize = 4;
 
+/// What one transaction may hold.
+#[derive(Debug, Clone, Copy)]
+pub struct TxnLimits {
+    /// Puts and deletes.
+    pub writes: usize,
+    /// Conditions.
+    pub guards: usize,
+    /// Bytes of a page, within the limit for a value.
+    pub page_bytes: usize,
+}
+
 /// A transaction and what its success means.
 #[derive(Debug, Default)]
 pub struct Batch {
@@ -114,10 +99,6 @@
     ends: Vec<Name>,
 }
 
-/// The order in which starts are stored: by the turn of their jobs, then as
-/// they were decided.
-pub type Turn = ((bool, Rank), u64);
-
 impl Cluster {
     /// The next transaction, if the store lacks anything.  `leader` is the
     /// stamp of the leader key: no write of a former leader gets through.
@@ -311,7 +292,7 @@
                 page.stamp = item.map_or(0, |i| i.stamp);
             }
         } else if let Some(id) = path.strip_prefix(key::FATE) {
-            let fate = item.and_then(|i| crate::store::read_value::<FateRecord>(path, i.data.clone()));
+            let fate = item.and_then(|i| read_value::<FateRecord>(path, i.data.clone()));
             if let Some(f) = fate {
                 self.set_fate(id, f.fate, now);
             }
--- /dev/null
+++ b/packages/core/src/key.rs
@@ -0,0 +1,22 @@
+//! Keys of the stored layout.  The first part is the version of the layout;
+//! what lies below `w/` is watched by every controller, the rest only read by
+//! new leaders.
+
+/// Everything the controllers watch.
+pub const WATCHED: &str = "c2/w/";
+/// Submissions.
+pub const JOB: &str = "c2/w/job/";
+/// Final states.
+pub const FATE: &str = "c2/w/fate/";
+/// The leader, on its lease.
+pub const LEADER: &str = "c2/w/leader";
+/// The last term.
+pub const TERM: &str = "c2/p/term";
+/// Machine types as last seen.
+pub const TYPES: &str = "c2/w/types";
+/// Starts and completed tasks.
+pub const PAGE: &str = "c2/p/page/";
+/// Rentals asked for lately.
+pub const RENTAL: &str = "c2/p/rental/";
+/// The layout before this one, which this program does not read.
+pub const OUTDATED: &str = "c1/";
--- a/src/ledger.rs
+++ b/packages/core/src/ledger.rs
@@ -15,8 +15,9 @@
 
 use lru::LruCache;
 
+use crate::key;
 use crate::model::*;
-use crate::store::{key, read_value, Item};
+use coralnotch_wire::state::{read_value, Item};
 
 /// An unfinished job.
 #[derive(Debug, Clone, PartialEq)]
--- /dev/null
+++ b/packages/core/src/lib.rs
@@ -0,0 +1,16 @@
+//! Decisions: what a leading controller knows of a cluster, and the steps on it.
+//! Plain functions of state and `now`: no socket, no clock, no thread in here.
+
+pub mod cluster;
+pub mod commit;
+pub mod fleet;
+pub mod key;
+pub mod ledger;
+pub mod lookup;
+pub mod placement;
+#[cfg(test)]
+mod sim;
+pub mod workers;
+
+pub use coralnotch_policy::{config, policy};
+pub use coralnotch_wire::model;
--- a/src/placement/mod.rs
+++ b/packages/core/src/placement/mod.rs
@@ -8,25 +8,13 @@
 mod pass;
 pub mod tai2;
 
-use std::collections::{BTreeMap, HashMap};
-use std::sync::Arc;
+use std::collections::HashMap;
 use std::time::Instant;
 
-use crate::cluster::{Cluster, Job, Phase, Place, TeamLimit};
+use crate::cluster::{Cluster, Job, Phase, Place, TeamLimit, Want};
 use crate::model::*;
 use pass::{Ask, Pass};
 
-/// Tasks that found no machine: what the fleet should grow by.
-#[derive(Debug, Clone)]
-pub struct Want {
-    /// Their job.
-    pub spec: Arc<Spec>,
-    /// How many.
-    pub count: u32,
-    /// Tasks of the job that are or may be in each zone already.
-    pub zones: BTreeMap<Name, u32>,
-}
-
 /// A place in the queue: a job, and those of its waiting tasks whose turn it is.
 #[derive(Clone, Copy)]
 struct Entry<'a> {
@@ -132,7 +120,7 @@
             let Some((count, zones)) = blocked else { continue };
             if job.suspect.is_some() {
                 // nobody gives way to a probe, nothing is held or rented for it
-                out.whys.push((job.spec.id.clone(), crate::workers::SUSPECT));
+                out.whys.push((job.spec.id.clone(), crate::cluster::SUSPECT));
                 continue;
             }
             // no room: hold what is being freed, or make room
@@ -180,7 +168,7 @@
         let mut q: Vec<(f64, Entry)> = entries.map(|e| (self.arrival(&e), e)).collect();
         q.sort_by(|(at, a), (bt, b)| {
             let (a, b) = (a.job, b.job);
-            (turn(a).cmp(&turn(b))).then(at.total_cmp(bt)).then((a.stamp, &a.spec.id).cmp(&(b.stamp, &b.spec.id)))
+            (a.turn().cmp(&b.turn())).then(at.total_cmp(bt)).then((a.stamp, &a.spec.id).cmp(&(b.stamp, &b.spec.id)))
         });
         q.into_iter().map(|(_, e)| e).collect()
     }
@@ -441,17 +429,10 @@
     (guarantee.cpus > 0.0 || guarantee.gpus > 0.0) && ok(guarantee.cpus, used.cpus) && ok(guarantee.gpus, used.gpus)
 }
 
-/// A job's turn.  Work gives way only to an earlier turn: with one order for
-/// the queue and for giving way, nothing is stopped for work that is then
-/// stopped for it.
-pub fn turn(j: &Job) -> (bool, Rank) {
-    (!j.guaranteed && j.spec.rank != Rank::Production, j.spec.rank)
-}
-
 /// Whether a task of `of` has to give way to `to`: to a higher rank, or, where
 /// it is work beyond its team's guarantee, to another team within its own.
 fn gives_way(to: &Job, of: &Job, teams: &HashMap<Name, TeamLimit>, used: &Table<Size>) -> bool {
-    if turn(of) <= turn(to) {
+    if of.turn() <= to.turn() {
         return false;
     }
     if of.spec.rank > to.spec.rank {
@@ -471,19 +452,12 @@
     1.0 + (lost + (here - ran) / (1.0 + ran)) * p.spec.cpus
 }
 
-/// Whether one more task of the job may be in this zone.
-pub fn zone_ok(spec: &Spec, zone: &Name, zones: &BTreeMap<Name, u32>) -> bool {
-    if spec.one_zone && zones.iter().any(|(z, n)| *n > 0 && z != zone) {
-        return false;
-    }
-    zones.get(zone).copied().unwrap_or(0) < spec.zone_cap()
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
     use crate::cluster::{Machine, Stage};
     use crate::sim::{cluster, spec};
+    use std::sync::Arc;
     use std::time::Duration;
 
     fn up(c: &mut Cluster, name: &str, now: Instant) {
--- a/src/placement/pass.rs
+++ b/packages/core/src/placement/pass.rs
@@ -6,7 +6,7 @@
 use std::time::Instant;
 
 use super::tai2::{variance, Candidate, Classes, How, Picks, Weather};
-use super::{gives_way, loss, turn, Entry};
+use super::{gives_way, loss, Entry};
 use crate::cluster::{Cluster, Job, Machine, Phase, Place};
 use crate::model::*;
 
@@ -105,7 +105,7 @@
                 } else {
                     soon.take(&p.spec.size());
                     if let Some(of) = c.jobs.get(&p.spec.id).filter(|_| !p.former) {
-                        latest = latest.max(Some(turn(of)));
+                        latest = latest.max(Some(of.turn()));
                     }
                 }
             }
@@ -374,7 +374,7 @@
     /// that could give way to it.
     pub fn is_hopeless(&self, ask: &Ask) -> bool {
         let like = |h: &Hopeless| {
-            turn(h.job) == turn(ask.job)
+            h.job.turn() == ask.job.turn()
                 && h.job.guaranteed == ask.job.guaranteed
                 && h.job.spec.team == ask.job.spec.team
                 && ask.size.holds(&h.size)
@@ -392,7 +392,7 @@
     pub fn may_make_room(&self, ask: &Ask, slot: usize) -> bool {
         let s = &self.slots[slot];
         ask.allowed[s.pool]
-            && (s.stopping || s.soon.holds(&ask.size) || s.latest.is_some_and(|l| l > turn(ask.job)))
+            && (s.stopping || s.soon.holds(&ask.size) || s.latest.is_some_and(|l| l > ask.job.turn()))
             && s.m.size.holds(&ask.size)
     }
 
--- a/src/sim/controllers.rs
+++ b/packages/core/src/sim/controllers.rs
@@ -10,7 +10,7 @@
     pub(super) flying: bool,
     /// Life number: messages to a former life are dropped.
     pub(super) life: u64,
-    pub(super) wants: Vec<crate::placement::Want>,
+    pub(super) wants: Vec<crate::cluster::Want>,
 }
 
 impl World {
--- a/src/sim/history.rs
+++ b/packages/core/src/sim/history.rs
@@ -6,9 +6,9 @@
 use std::collections::{HashSet, VecDeque};
 
 use super::*;
-use crate::intake::{Found, Lookup};
 use crate::ledger::{Ended, Ledger, Standing, Sweep};
-use crate::store::Event;
+use crate::lookup::{Found, Lookup};
+use coralnotch_wire::state::Event;
 
 /// What is left out on purpose, to see that it is noticed.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/src/sim/mod.rs
+++ b/packages/core/src/sim/mod.rs
@@ -13,47 +13,22 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::cluster::Listed;
 use crate::cluster::{Cluster, Stage, TeamLimit};
+use crate::commit::TxnLimits;
 use crate::commit::{read_page, Batch};
 use crate::config::Config;
-use crate::fleet::Listed;
+use crate::key;
 use crate::model::*;
 use crate::policy::Policy;
-use crate::store::{key, read_value, Item, Txn, TxnLimits, Write};
 use crate::workers::*;
 use controllers::Controller;
+use coralnotch_wire::state::{read_value, Item, Txn, Write};
 use machines::{listed, Work, Worker};
 use service::Store;
 
-pub const SETTINGS: &str = r#"
-host_name = "a"
-domain = "z0"
-bind = "127.0.0.1:1"
-peer_bind = "127.0.0.1:2"
-[services]
-cloud = "127.0.0.1:3"
-state = "127.0.0.1:4"
-[deployment]
-size = 3
-[deployment.workers]
-report_s = 3.0
-lease_s = 30.0
-gang_wait_s = 20.0
-gang_peer_s = 5.0
-cancel_s = 60.0
-[deployment.state]
-rps = 200.0
-write_rps = 80.0
-value_kb = 16.0
-txn_ops = 8
-[deployment.cloud]
-rps = 5.0
-list_lag_s = 5.0
-[deployment.quota]
-cores = 0.1
-ram_mb = 136.0
-fd_limit = 1000
-"#;
+pub use coralnotch_policy::example::SETTINGS;
+pub use coralnotch_wire::example::spec;
 
 /// A new leader's state, for tests of single slices.
 pub fn cluster(term: u64, now: Instant) -> Cluster {
@@ -64,32 +39,6 @@
     c
 }
 
-/// An array of tasks of one core.
-pub fn spec(id: &str, tasks: u32) -> Arc<Spec> {
-    Arc::new(Spec {
-        id: id.into(),
-        class: "c".into(),
-        team: "x".into(),
-        shape: Shape::Array,
-        rank: Rank::Normal,
-        tasks,
-        cpus: 1.0,
-        gpus: 0.0,
-        memory: 1.0,
-        image: "img-0".into(),
-        image_gb: 1.0,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: true,
-        estimate_s: 10.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
-    })
-}
-
 pub fn machine_type(name: &str) -> MachineType {
     MachineType {
         name: name.into(),
--- a/src/policy/mod.rs
+++ b/packages/policy/src/policy/mod.rs
@@ -355,7 +355,7 @@
 
     /// Settings for tests.
     pub fn config() -> Config {
-        Config::parse("test", crate::sim::SETTINGS).expect("settings of the tests")
+        Config::parse("test", crate::example::SETTINGS).expect("settings of the tests")
     }
 
     fn faults(text: &str) -> Vec<String> {
--- /dev/null
+++ b/packages/wire/src/example.rs
@@ -0,0 +1,31 @@
+//! A submission for tests and for trying things out.
+
+use std::sync::Arc;
+
+use crate::model::*;
+
+/// An array of tasks of one core.
+pub fn spec(id: &str, tasks: u32) -> Arc<Spec> {
+    Arc::new(Spec {
+        id: id.into(),
+        class: "c".into(),
+        team: "x".into(),
+        shape: Shape::Array,
+        rank: Rank::Normal,
+        tasks,
+        cpus: 1.0,
+        gpus: 0.0,
+        memory: 1.0,
+        image: "img-0".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        estimate_s: 10.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    })
+}
--- a/src/model.rs
+++ b/packages/wire/src/model.rs
@@ -13,7 +13,8 @@
 pub type Table<V> = std::collections::HashMap<Name, V, foldhash::fast::RandomState>;
 
 /// Where a value stands in a short list; it is added if it is not there.
-pub(crate) fn index_of<T: PartialEq>(list: &mut Vec<T>, x: T) -> usize {
+/// The place of `x` in the list, where it is put if it is not there yet.
+pub fn index_of<T: PartialEq>(list: &mut Vec<T>, x: T) -> usize {
     list.iter().position(|y| *y == x).unwrap_or_else(|| {
         list.push(x);
         list.len() - 1
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -9,8 +9,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::cluster::{Cluster, Machine, Stage};
-use crate::commit::{read_page, Page, Whereabouts};
-use crate::fleet::{Listed, Plan, Rental};
+use crate::cluster::{Listed, Rental};
+use crate::cluster::{Page, Whereabouts};
+use crate::commit::read_page;
+use crate::fleet::Plan;
 use crate::http;
 use crate::leadership::{Authority, Ears};
 use crate::ledger::{Open, Standing};
@@ -593,7 +595,8 @@
     use super::*;
     use crate::config::Config;
     use crate::policy::Policy;
-    use crate::sim::{spec, SETTINGS};
+    use coralnotch_policy::example::SETTINGS;
+    use coralnotch_wire::example::spec;
 
     /// What the watch brings just before a leader takes over is in its
     /// picture, and what it brings just after reaches it.
@@ -627,7 +630,7 @@
         let policy = Policy::new(&config).expect("the default policy");
         let node = Node::new(config, policy, now);
         node.learn_job(spec("j-000001", 1), 1, now);
-        let start = |job: &str| crate::commit::Start {
+        let start = |job: &str| crate::cluster::Start {
             machine: "i-1".into(),
             task: Task { job: job.into(), index: 0 },
             attempt: 7,
@@ -658,7 +661,7 @@
         let policy = Policy::new(&config).expect("the default policy");
         let node = Node::new(config, policy, now);
         node.learn_job(spec("j-000001", 1), 1, now);
-        let starts = ["j-000001", "j-000002", "j-000003"].map(|job| crate::commit::Start {
+        let starts = ["j-000001", "j-000002", "j-000003"].map(|job| crate::cluster::Start {
             machine: "i-1".into(),
             task: Task { job: job.into(), index: 0 },
             attempt: 7,
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -221,7 +221,7 @@
     use super::*;
     use crate::config::Config;
     use crate::node::Pulse;
-    use crate::sim::SETTINGS;
+    use coralnotch_policy::example::SETTINGS;
     use proptest::prelude::*;
 
     fn policy() -> Policy {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,22 +4,14 @@
 
 pub mod cli;
 pub mod client;
-pub mod cluster;
-pub mod commit;
-pub mod config;
-pub mod fleet;
-pub mod http;
 pub mod intake;
 pub mod leader;
 pub mod leadership;
-pub mod ledger;
-pub mod model;
 pub mod node;
 pub mod peers;
-pub mod placement;
-pub mod policy;
-#[cfg(test)]
-mod sim;
 pub mod store;
 pub mod telemetry;
-pub mod workers;
+
+pub use coralnotch_core::{cluster, commit, fleet, ledger, lookup, placement, workers};
+pub use coralnotch_policy::{config, policy};
+pub use coralnotch_wire::{http, model};
--- a/src/node.rs
+++ b/src/node.rs
@@ -8,6 +8,7 @@
 
 use futures_lite::future::or;
 
+use crate::cluster::Want;
 use crate::cluster::{Cluster, TeamLimit};
 use crate::config::Config;
 use crate::http;
@@ -15,7 +16,6 @@
 use crate::leadership::{Authority, LeaderRecord};
 use crate::ledger::{Ledger, News, Sweep};
 use crate::model::*;
-use crate::placement::Want;
 use crate::policy::Policy;
 use crate::store::{key, read_value, Budget, Error, Event, Item, Store};
 use crate::telemetry::Telemetry;
