--- a/benches/history/main.rs
+++ b/benches/history/main.rs
@@ -6,6 +6,8 @@
 
 mod state;
 
+use coralnotch_emulator::state::{Limits, State};
+
 use std::io::Write as _;
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
@@ -140,7 +142,7 @@
 }
 
 fn run(args: &Args, ended: u32) {
-    let mut store = state::State::default();
+    let mut store = State::new(Limits::NONE);
     for n in 0..ended + args.unfinished {
         store.fill(format!("{}{}", key::JOB, id(n)), &job(n));
         if n < ended {
--- a/packages/core/src/cluster/machine.rs
+++ b/packages/core/src/cluster/machine.rs
@@ -3,24 +3,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
-use serde::{Deserialize, Serialize};
-
-use super::Place;
+use super::{Place, Stage};
 use crate::model::*;
 use crate::policy::Policy;
 
-/// What the cloud's list says of a machine.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Stage {
-    /// Not up yet.
-    Booting,
-    /// Up.
-    Running,
-    /// Stopped on its own.
-    Failed,
-}
-
 /// A machine.
 #[derive(Debug, Clone)]
 pub struct Machine {
--- a/packages/core/src/cluster/rented.rs
+++ b/packages/core/src/cluster/rented.rs
@@ -3,54 +3,13 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
-use serde::{Deserialize, Serialize};
+pub use coralnotch_wire::cloud::{Listed, Rental, Stage};
 
-use super::Stage;
 use crate::model::*;
 
 /// A kind of machine in a zone.
 pub type Pool = (Name, Name, bool);
 
-/// A rental to ask for.  Its charter is used for nothing else, ever.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Rental {
-    /// Name of the request.
-    pub charter: Name,
-    /// Type.
-    #[serde(rename = "hull")]
-    pub kind: Name,
-    /// Zone.
-    #[serde(rename = "bay")]
-    pub zone: Name,
-    /// Spot or ordinary.
-    #[serde(rename = "driftwood")]
-    pub spot: bool,
-    /// How many.
-    pub count: u32,
-}
-
-/// A machine as listed.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Listed {
-    /// Name.
-    #[serde(rename = "nameId")]
-    pub name: Name,
-    /// Type.
-    #[serde(rename = "hull")]
-    pub kind: Name,
-    /// Zone.
-    #[serde(rename = "bay")]
-    pub zone: Name,
-    /// Spot or ordinary.
-    #[serde(rename = "driftwood")]
-    pub spot: bool,
-    /// State.
-    pub stage: Stage,
-    /// Time since its rental.
-    #[serde(rename = "heldS", default)]
-    pub held_s: f64,
-}
-
 /// What the leader remembers of its dealings with the cloud.
 #[derive(Debug, Default)]
 pub struct Fleet {
--- /dev/null
+++ b/packages/emulator/src/balancer.rs
@@ -0,0 +1,234 @@
+//! The load balancer: a plain choice by health and open connections, and the
+//! copying of bytes.  It works at connection level; what users upload beside
+//! their submissions is read off the copied bytes by [`Tap`].
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use coralnotch_wire::http;
+use coralnotch_wire::model::Spec;
+
+/// First pause of a controller that was removed; it doubles up to the last.
+const REMOVED_FIRST: Duration = Duration::from_secs(3);
+const REMOVED_MOST: Duration = Duration::from_secs(60);
+/// Failed connections in a row after which a controller is skipped, and how long.
+const SKIPPED_AFTER: u32 = 3;
+const SKIPPED_FOR: Duration = Duration::from_secs(3);
+/// A removal within so long of the last one doubles the pause.
+const MEMORY: Duration = Duration::from_secs(120);
+
+/// A controller as the balancer sees it.
+#[derive(Debug, Clone)]
+pub struct Backend {
+    /// Where it listens for users.
+    pub addr: SocketAddr,
+    /// Connections open through the balancer.
+    pub open: usize,
+    healthy: bool,
+    ever: bool,
+    /// The last six probes, the newest in the lowest bit; 1 for a failure.
+    failed: u8,
+    probes: u32,
+    removed: Option<Instant>,
+    pause: Duration,
+    failures: u32,
+    skip_until: Option<Instant>,
+}
+
+/// The balancer's picture.
+#[derive(Debug, Clone)]
+pub struct Balancer {
+    backends: Vec<Backend>,
+}
+
+impl Balancer {
+    /// Nothing is known of these controllers yet.
+    pub fn new(addrs: &[SocketAddr]) -> Balancer {
+        let one = |addr: &SocketAddr| Backend {
+            addr: *addr,
+            open: 0,
+            healthy: false,
+            ever: false,
+            failed: 0,
+            probes: 0,
+            removed: None,
+            pause: REMOVED_FIRST / 2,
+            failures: 0,
+            skip_until: None,
+        };
+        Balancer { backends: addrs.iter().map(one).collect() }
+    }
+
+    /// The controllers, in the order given.
+    pub fn backends(&self) -> &[Backend] {
+        &self.backends
+    }
+
+    /// Whether a controller gets connections.
+    pub fn healthy(&self, i: usize) -> bool {
+        self.backends.get(i).is_some_and(|b| b.healthy)
+    }
+
+    /// A probe came to an end.
+    pub fn probed(&mut self, i: usize, ok: bool, now: Instant) {
+        let Some(b) = self.backends.get_mut(i) else { return };
+        b.failed = (b.failed << 1 | u8::from(!ok)) & 0b11_1111;
+        b.probes += 1;
+        if b.healthy {
+            if b.failed & 0b11 == 0b11 || b.failed.count_ones() >= 3 {
+                b.healthy = false;
+                let again = b.removed.is_some_and(|t| now.saturating_duration_since(t) < MEMORY);
+                b.pause = if again { (b.pause * 2).min(REMOVED_MOST) } else { REMOVED_FIRST };
+                b.removed = Some(now);
+            }
+            return;
+        }
+        let rested = b.removed.is_none_or(|t| now.saturating_duration_since(t) >= b.pause);
+        if ok && (!b.ever || (b.failed & 0b11 == 0 && rested)) {
+            (b.healthy, b.ever, b.failed) = (true, true, 0);
+        }
+    }
+
+    /// Where a new connection goes, other than where it failed already.
+    pub fn choose(&self, tried: &[usize], now: Instant) -> Option<usize> {
+        let ok = |(i, b): &(usize, &Backend)| b.healthy && !tried.contains(i) && b.skip_until.is_none_or(|t| t <= now);
+        self.backends.iter().enumerate().filter(ok).min_by_key(|(_, b)| b.open).map(|(i, _)| i)
+    }
+
+    /// A connection was made, or not.
+    pub fn connected(&mut self, i: usize, ok: bool, now: Instant) {
+        let Some(b) = self.backends.get_mut(i) else { return };
+        if ok {
+            b.open += 1;
+            b.failures = 0;
+        } else {
+            b.failures += 1;
+            if b.failures >= SKIPPED_AFTER {
+                (b.failures, b.skip_until) = (0, Some(now + SKIPPED_FOR));
+            }
+        }
+    }
+
+    /// A connection ended.
+    pub fn closed(&mut self, i: usize) {
+        if let Some(b) = self.backends.get_mut(i) {
+            b.open = b.open.saturating_sub(1);
+        }
+    }
+}
+
+/// Most bytes kept of a request that is not complete.
+const TAP_MOST: usize = 128 * 1024;
+
+/// Reads submissions off the bytes that a user sends: users upload a job's
+/// description for the workers, and here that is the submission itself.
+#[derive(Debug, Default)]
+pub struct Tap {
+    buf: Vec<u8>,
+    lost: bool,
+}
+
+impl Tap {
+    /// More bytes of a connection; the submissions that they complete.
+    pub fn take(&mut self, bytes: &[u8]) -> Vec<Spec> {
+        let mut found = Vec::new();
+        if self.lost {
+            return found;
+        }
+        self.buf.extend_from_slice(bytes);
+        loop {
+            match http::parse_request(&self.buf) {
+                Ok(Some(head)) => {
+                    let end = head.len + head.body;
+                    if self.buf.len() < end {
+                        break;
+                    }
+                    if head.method == "POST" && head.target == "/v2/runs" {
+                        found.extend(http::decode::<Spec>(&self.buf[head.len..end]).ok());
+                    }
+                    self.buf.drain(..end);
+                }
+                Ok(None) => break,
+                Err(_) => self.lost = true,
+            }
+            if self.lost || self.buf.is_empty() {
+                break;
+            }
+        }
+        if self.buf.len() > TAP_MOST {
+            self.lost = true;
+        }
+        if self.lost {
+            self.buf = Vec::new();
+        }
+        found
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Two failures in a row remove, two successes bring back after a pause
+    /// that doubles, and the first success of all counts at once.
+    #[test]
+    fn removal_and_return() {
+        let t0 = Instant::now();
+        let at = |s| t0 + Duration::from_secs(s);
+        let addr = SocketAddr::from(([127, 0, 0, 1], 1));
+        let mut b = Balancer::new(&[addr]);
+        assert_eq!(b.choose(&[], t0), None);
+        b.probed(0, true, at(0));
+        assert_eq!(b.choose(&[], t0), Some(0));
+        b.probed(0, false, at(1));
+        assert!(b.healthy(0));
+        b.probed(0, false, at(2));
+        assert!(!b.healthy(0));
+        b.probed(0, true, at(3));
+        b.probed(0, true, at(4));
+        assert!(!b.healthy(0), "3 s have not passed");
+        b.probed(0, true, at(5));
+        assert!(b.healthy(0));
+        b.probed(0, false, at(6));
+        b.probed(0, false, at(7));
+        for s in 8..13 {
+            b.probed(0, true, at(s));
+            assert!(!b.healthy(0), "the pause has doubled");
+        }
+        b.probed(0, true, at(13));
+        assert!(b.healthy(0));
+    }
+
+    #[test]
+    fn refused_connections_go_elsewhere() {
+        let now = Instant::now();
+        let addr = |p| SocketAddr::from(([127, 0, 0, 1], p));
+        let mut b = Balancer::new(&[addr(1), addr(2)]);
+        b.probed(0, true, now);
+        b.probed(1, true, now);
+        b.connected(0, true, now);
+        assert_eq!(b.choose(&[], now), Some(1), "fewer open connections");
+        assert_eq!(b.choose(&[1], now), Some(0));
+        for _ in 0..3 {
+            b.connected(1, false, now);
+        }
+        assert_eq!(b.choose(&[], now), Some(0), "skipped for a while");
+        assert_eq!(b.choose(&[], now + Duration::from_secs(3)), Some(1));
+    }
+
+    #[test]
+    fn submissions_are_read_off_in_whatever_pieces() {
+        let spec = coralnotch_wire::example::spec("j-000001", 2);
+        let body = http::encode(&*spec);
+        let mut bytes = format!("POST /v2/runs HTTP/1.1\r\nContent-Length: {}\r\n\r\n", body.len()).into_bytes();
+        bytes.extend(&body);
+        bytes.extend(b"GET /v2/runs/j-000001 HTTP/1.1\r\n\r\n");
+        let bytes = [bytes.clone(), bytes].concat();
+        for piece in [1, 7, 1000] {
+            let mut tap = Tap::default();
+            let found: Vec<Spec> = bytes.chunks(piece).flat_map(|c| tap.take(c)).collect();
+            assert_eq!(found.len(), 2);
+            assert_eq!(found[0], *spec);
+        }
+    }
+}
--- /dev/null
+++ b/packages/emulator/src/lib.rs
@@ -0,0 +1,12 @@
+//! Stand-ins for the systems that coralnotch serves: a state service, a cloud,
+//! workers and a load balancer, over TCP on loopback; and a cluster on one
+//! machine made of them and real controller processes.
+//!
+//! Knows the protocol and nothing of how a controller decides.
+
+pub mod balancer;
+pub mod cloud;
+pub mod serve;
+pub mod state;
+pub mod up;
+pub mod yard;
--- /dev/null
+++ b/packages/emulator/src/serve.rs
@@ -0,0 +1,337 @@
+//! The stand-ins over TCP, on one thread: what the plain state machines decide
+//! is carried out here, and nothing is decided.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use coralnotch_wire::http::{self, Client, Request, Response, ServerLimits};
+use coralnotch_wire::model::Name;
+use coralnotch_wire::workers::{Answer, DirectBody};
+use fastrand::Rng;
+use futures_lite::future::or;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use serde::Deserialize;
+use smol::net::{TcpListener, TcpStream};
+use smol::{LocalExecutor, Task};
+
+use crate::balancer::{Balancer, Tap};
+use crate::cloud::{Cloud, Event};
+use crate::state::{State, Step};
+use crate::yard::Yard;
+
+/// Interval at which time passes for machines and watches.
+const TICK: Duration = Duration::from_millis(20);
+/// A worker reports at most so often.
+const REPORT_GAP: Duration = Duration::from_millis(500);
+/// How long a worker waits for an answer, and before it tries the next node.
+const REPORT_LIMIT: Duration = Duration::from_secs(4);
+const NEXT_NODE: Duration = Duration::from_secs(1);
+/// Interval and limit of probes, and the limit of a connection.
+const PROBE_EVERY: Duration = Duration::from_secs(1);
+const PROBE_LIMIT: Duration = Duration::from_secs(1);
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+/// Controllers that one user's connection is tried at.
+const TRIES: usize = 3;
+/// A controller unhealthy for so long has its open connections reset.
+const RESET_AFTER: Duration = Duration::from_secs(5);
+/// Connections open at once at a stand-in.
+const CONNECTIONS: usize = 4000;
+
+/// A controller, as workers and the balancer know it.
+#[derive(Debug, Clone)]
+pub struct Controller {
+    /// Its name.
+    pub name: String,
+    /// Where it listens for users and workers.
+    pub addr: SocketAddr,
+}
+
+/// Everything around the controllers.
+pub struct World {
+    /// State service.
+    pub state: RefCell<State>,
+    /// Cloud.
+    pub cloud: RefCell<Cloud>,
+    /// Machines.
+    pub yard: RefCell<Yard>,
+    /// Load balancer.
+    pub balancer: RefCell<Balancer>,
+    /// Chance.
+    pub rng: RefCell<Rng>,
+    controllers: Vec<Controller>,
+    report_s: f64,
+    workers: RefCell<HashMap<Name, Task<()>>>,
+}
+
+fn limits() -> ServerLimits {
+    ServerLimits {
+        connections: CONNECTIONS,
+        scarce: CONNECTIONS,
+        idle: Duration::from_secs(600),
+        arrive: Duration::from_secs(60),
+        answer: Duration::from_secs(600),
+    }
+}
+
+#[derive(Deserialize, Default)]
+struct Elsewhere {
+    #[serde(rename = "answerTo", default)]
+    answer_to: Option<String>,
+}
+
+impl World {
+    /// A world around these controllers; `report_s` is the interval of the
+    /// workers' reports, in seconds.
+    pub fn new(
+        state: State,
+        cloud: Cloud,
+        yard: Yard,
+        controllers: Vec<Controller>,
+        report_s: f64,
+        rng: Rng,
+    ) -> Rc<World> {
+        let addrs: Vec<SocketAddr> = controllers.iter().map(|c| c.addr).collect();
+        Rc::new(World {
+            state: RefCell::new(state),
+            cloud: RefCell::new(cloud),
+            yard: RefCell::new(yard),
+            balancer: RefCell::new(Balancer::new(&addrs)),
+            rng: RefCell::new(rng),
+            controllers,
+            report_s,
+            workers: RefCell::default(),
+        })
+    }
+
+    /// Serves the state service on a listener.
+    pub async fn serve_state(self: Rc<Self>, ex: Rc<LocalExecutor<'static>>, on: TcpListener) {
+        let handler = move |r: Request| {
+            let w = self.clone();
+            async move {
+                let step = w.state.borrow_mut().ask(&r, Instant::now());
+                let watch = match step {
+                    Step::Answer(a) => return a,
+                    Step::Watch(watch) => watch,
+                };
+                loop {
+                    smol::Timer::after(TICK).await;
+                    if let Some(a) = w.state.borrow_mut().news(&watch, Instant::now()) {
+                        return a;
+                    }
+                }
+            }
+        };
+        http::serve(ex, on, limits(), Rc::new(handler)).await;
+    }
+
+    /// Serves the cloud on a listener.
+    pub async fn serve_cloud(self: Rc<Self>, ex: Rc<LocalExecutor<'static>>, on: TcpListener) {
+        let e = ex.clone();
+        let handler = move |r: Request| {
+            let (answer, events) = self.cloud.borrow_mut().ask(&r, &mut self.rng.borrow_mut(), Instant::now());
+            self.clone().carry_out(&e, events);
+            async move { answer }
+        };
+        http::serve(ex, on, limits(), Rc::new(handler)).await;
+    }
+
+    /// What the cloud did reaches the machines.
+    pub fn carry_out(self: Rc<Self>, ex: &Rc<LocalExecutor<'static>>, events: Vec<Event>) {
+        for e in events {
+            match e {
+                Event::Up(name) => {
+                    let worker = self.clone().worker(name.clone());
+                    self.workers.borrow_mut().insert(name, ex.spawn(worker));
+                }
+                Event::Notice(name, at) => {
+                    if let Some(m) = self.yard.borrow_mut().machine(&name) {
+                        (m.taken, m.changed) = (Some(at), true);
+                    }
+                }
+                Event::Gone(name) => {
+                    self.yard.borrow_mut().gone(&name);
+                    // its sockets go with it
+                    self.workers.borrow_mut().remove(&name);
+                }
+            }
+        }
+    }
+
+    /// Lets time pass, until it is dropped.
+    pub async fn time(self: Rc<Self>, ex: Rc<LocalExecutor<'static>>) {
+        loop {
+            smol::Timer::after(TICK).await;
+            let now = Instant::now();
+            self.yard.borrow_mut().step(now);
+            let events = self.cloud.borrow_mut().step(now);
+            self.clone().carry_out(&ex, events);
+        }
+    }
+
+    /// One machine's worker, with its server and all its sockets; gone when
+    /// this is dropped.
+    async fn worker(self: Rc<Self>, name: Name) {
+        let Ok(listener) = TcpListener::bind("127.0.0.1:0").await else {
+            log::error!("no port for {name}");
+            return;
+        };
+        let Ok(address) = listener.local_addr() else { return };
+        {
+            let cloud = self.cloud.borrow();
+            let Some(m) = cloud.machines().get(&name) else { return };
+            let Some(kind) = cloud.kind(&m.kind).cloned() else { return };
+            let at: Name = address.to_string().into();
+            self.yard.borrow_mut().up(name.clone(), kind, m.zone.clone(), m.spot, at, Instant::now());
+        }
+        let (w, n) = (self.clone(), name.clone());
+        let handler = move |r: Request| {
+            let answer = w.direct(&n, &r);
+            async move {
+                match answer {
+                    Some(a) => a,
+                    // no machine any more: no answer either
+                    None => std::future::pending().await,
+                }
+            }
+        };
+        let ex = Rc::new(LocalExecutor::new());
+        let server = http::serve(ex.clone(), listener, limits(), Rc::new(handler));
+        ex.run(or(server, self.reports(name))).await;
+    }
+
+    fn direct(&self, name: &Name, r: &Request) -> Option<Response> {
+        let (mut yard, now) = (self.yard.borrow_mut(), Instant::now());
+        let status = match (r.method.as_str(), r.path.as_str()) {
+            ("GET", "/status") => 200,
+            ("POST", "/commands") => match http::decode::<DirectBody>(&r.body) {
+                Ok(body) => match yard.command(name, body, now) {
+                    true => 200,
+                    false => 409,
+                },
+                Err(_) => return Some(Response::refuse(400, "malformed")),
+            },
+            _ => return Some(Response::refuse(404, "no such path")),
+        };
+        Some(Response::new(status, &yard.report(name, now)?.0))
+    }
+
+    async fn reports(&self, name: Name) {
+        let (client, mut at) = (Client::new(1), self.rng.borrow_mut().usize(0..self.controllers.len().max(1)));
+        let mut due = Instant::now();
+        let mut last: Option<Instant> = None;
+        loop {
+            smol::Timer::after(TICK).await;
+            let now = Instant::now();
+            let changed = self.yard.borrow().machines().get(&name).is_some_and(|m| m.changed);
+            let rested = last.is_none_or(|t| now.saturating_duration_since(t) >= REPORT_GAP);
+            if now < due && !(changed && rested) {
+                continue;
+            }
+            let Some((report, sent)) = self.yard.borrow_mut().report(&name, now) else { return };
+            let Some(to) = self.controllers.get(at) else { return };
+            last = Some(now);
+            let body = http::encode(&report);
+            let wait = match client.send(to.addr, "POST", "/hello", Some(&body), REPORT_LIMIT).await {
+                Ok((200, body)) => {
+                    if let Ok(a) = http::decode::<Answer>(&body) {
+                        self.yard.borrow_mut().answered(&name, sent, a, Instant::now());
+                    }
+                    Duration::from_secs_f64(self.report_s * (0.75 + 0.5 * self.rng.borrow_mut().f64()))
+                }
+                Ok((421, body)) => {
+                    let named = http::decode::<Elsewhere>(&body).unwrap_or_default().answer_to;
+                    let known = self.controllers.iter().position(|c| Some(&c.name) == named.as_ref());
+                    match known.filter(|k| *k != at) {
+                        Some(k) => {
+                            at = k;
+                            Duration::from_millis(self.rng.borrow_mut().u64(0..500))
+                        }
+                        None => {
+                            at = (at + 1) % self.controllers.len();
+                            NEXT_NODE
+                        }
+                    }
+                }
+                _ => {
+                    at = (at + 1) % self.controllers.len();
+                    NEXT_NODE
+                }
+            };
+            due = Instant::now() + wait;
+        }
+    }
+
+    /// Probes the controllers.
+    pub async fn probe(self: Rc<Self>, i: usize) {
+        let client = Client::new(1);
+        let Some(c) = self.controllers.get(i).cloned() else { return };
+        loop {
+            let ok = matches!(client.send(c.addr, "GET", "/healthz", None, PROBE_LIMIT).await, Ok((200, _)));
+            self.balancer.borrow_mut().probed(i, ok, Instant::now());
+            smol::Timer::after(PROBE_EVERY).await;
+        }
+    }
+
+    /// Takes users' connections and passes them on.
+    pub async fn balance(self: Rc<Self>, ex: Rc<LocalExecutor<'static>>, on: TcpListener) {
+        loop {
+            match on.accept().await {
+                Ok((user, _)) => ex.spawn(self.clone().pass_on(user)).detach(),
+                Err(e) => {
+                    log::error!("balancer: {e}");
+                    smol::Timer::after(Duration::from_millis(100)).await;
+                }
+            }
+        }
+    }
+
+    async fn pass_on(self: Rc<Self>, user: TcpStream) {
+        let mut tried = Vec::new();
+        while tried.len() < TRIES {
+            let Some(i) = self.balancer.borrow().choose(&tried, Instant::now()) else { return };
+            let connect = async { TcpStream::connect(self.controllers[i].addr).await.ok() };
+            let late = async {
+                smol::Timer::after(CONNECT_LIMIT).await;
+                None
+            };
+            let made = or(connect, late).await;
+            self.balancer.borrow_mut().connected(i, made.is_some(), Instant::now());
+            let Some(node) = made else {
+                tried.push(i);
+                continue;
+            };
+            let (mut up, mut down) = (user.clone(), node.clone());
+            let ahead = async {
+                let (mut buf, mut tap) = ([0u8; 8192], Tap::default());
+                while let Ok(n @ 1..) = up.read(&mut buf).await {
+                    for spec in tap.take(&buf[..n]) {
+                        self.yard.borrow_mut().upload(spec);
+                    }
+                    if down.write_all(&buf[..n]).await.is_err() {
+                        break;
+                    }
+                }
+            };
+            let back = async {
+                let _ = smol::io::copy(node.clone(), user.clone()).await;
+            };
+            let reset = async {
+                let mut sick: Option<Instant> = None;
+                loop {
+                    smol::Timer::after(PROBE_EVERY).await;
+                    match self.balancer.borrow().healthy(i) {
+                        true => sick = None,
+                        false if sick.get_or_insert_with(Instant::now).elapsed() > RESET_AFTER => return,
+                        false => {}
+                    }
+                }
+            };
+            or(or(ahead, back), reset).await;
+            self.balancer.borrow_mut().closed(i);
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/packages/emulator/src/up.rs
@@ -0,0 +1,363 @@
+//! A cluster on one machine: the stand-ins in this process, and controllers as
+//! processes of their own.
+
+use std::fs;
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use coralnotch_wire::http::{self, Client};
+use coralnotch_wire::model::{MachineType, Rank, Shape, Spec};
+use fastrand::Rng;
+use futures_lite::future::or;
+use serde::{Deserialize, Serialize};
+use smol::net::TcpListener;
+use smol::LocalExecutor;
+
+use crate::cloud::{self, Cloud};
+use crate::serve::{Controller, World};
+use crate::state::{Limits, State};
+use crate::yard::{self, Yard};
+
+/// Zones, one controller in each.
+const ZONES: [&str; 3] = ["north", "east", "south"];
+/// Intervals and leases of the small cluster, in seconds: a job's way through
+/// it takes seconds, not minutes.
+const REPORT_S: f64 = 1.0;
+const LEASE_S: f64 = 10.0;
+const GANG_WAIT_S: f64 = 15.0;
+const GANG_PEER_S: f64 = 2.0;
+const CANCEL_S: f64 = 20.0;
+/// What the state service and the cloud allow.
+const STATE: Limits = Limits { rps: 300.0, write_rps: 100.0, value_kb: 16.0, txn_ops: 24 };
+const CLOUD_RPS: f64 = 10.0;
+const LIST_LAG_S: f64 = 2.0;
+/// A controller that ended is started again after this.
+const RESTART: Duration = Duration::from_secs(2);
+/// Within this the cluster has to be ready.
+const READY: Duration = Duration::from_secs(30);
+
+/// What `up` is to do.
+#[derive(Debug, Clone, clap::Args)]
+pub struct Options {
+    /// Where users come: port of the load balancer, 0 for any that is free.
+    #[arg(long, default_value_t = 7070)]
+    pub port: u16,
+    /// The controller program; beside this program if not given.
+    #[arg(long)]
+    pub controller: Option<PathBuf>,
+    /// Directory for settings and logs; a new one under the temporary
+    /// directory if not given.
+    #[arg(long)]
+    pub dir: Option<PathBuf>,
+    /// Seed of the stand-ins' chances.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Machines of each type, zone and kind that can be rented.
+    #[arg(long, default_value_t = 4)]
+    pub capacity: usize,
+    /// Submit a job at once and follow it.
+    #[arg(long)]
+    pub demo: bool,
+    /// With --demo: end when the job is done.
+    #[arg(long, requires = "demo")]
+    pub exit: bool,
+}
+
+/// Why there is no cluster.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// What was given can't be used.
+    #[error("{0}")]
+    Input(String),
+    /// The machine refused something.
+    #[error("{what}: {error}")]
+    Io {
+        /// What was tried.
+        what: String,
+        /// Its error.
+        error: io::Error,
+    },
+    /// It did not get ready, or the job did not get done.
+    #[error("{0}")]
+    Failed(String),
+}
+
+fn tried<T>(what: impl Into<String>, r: io::Result<T>) -> Result<T, Error> {
+    r.map_err(|error| Error::Io { what: what.into(), error })
+}
+
+/// Controllers' processes; they end with this.
+struct Processes {
+    program: PathBuf,
+    dir: PathBuf,
+    running: Vec<Option<Child>>,
+    ended: Vec<Option<Instant>>,
+}
+
+impl Processes {
+    fn start(&mut self, i: usize) -> Result<(), Error> {
+        let settings = self.dir.join(format!("node-{i}.toml"));
+        let log = self.dir.join(format!("node-{i}.log"));
+        let open = fs::OpenOptions::new().create(true).append(true).open(&log);
+        let log = tried(log.display().to_string(), open)?;
+        let child = Command::new(&self.program)
+            .args(["serve", "--config"])
+            .arg(&settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn();
+        self.running[i] = Some(tried(self.program.display().to_string(), child)?);
+        Ok(())
+    }
+
+    /// Starts again what ended a while ago.
+    fn watch(&mut self, now: Instant) -> Result<(), Error> {
+        for i in 0..self.running.len() {
+            if let Some(Ok(Some(status))) = self.running[i].as_mut().map(Child::try_wait) {
+                say(&format!("node-{i} ended ({status}); see {}", self.dir.join(format!("node-{i}.log")).display()));
+                (self.running[i], self.ended[i]) = (None, Some(now));
+            }
+            if self.ended[i].is_some_and(|t| now.saturating_duration_since(t) > RESTART) {
+                self.ended[i] = None;
+                self.start(i)?;
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Processes {
+    fn drop(&mut self) {
+        for c in self.running.iter_mut().flatten() {
+            let _ = c.kill();
+            let _ = c.wait();
+        }
+    }
+}
+
+fn say(line: &str) {
+    let _ = writeln!(io::stdout(), "{line}");
+}
+
+/// The types that the small cloud has.
+pub fn types() -> Vec<MachineType> {
+    let zones = ZONES.map(|z| z.into());
+    let one = |name: &str, cpus: f64, price: f64| MachineType {
+        name: name.into(),
+        cpus,
+        gpus: 0.0,
+        memory: cpus * 4.0,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 1.0,
+        price,
+        spot_price: price * 0.4,
+        boot_s: 2.0,
+        zones: zones.to_vec(),
+    };
+    vec![one("small", 4.0, 0.4), one("large", 16.0, 1.5)]
+}
+
+/// The settings file of controller `i`.
+fn settings(i: usize, binds: &[(SocketAddr, SocketAddr)], state: SocketAddr, cloud: SocketAddr) -> String {
+    let siblings: String = (0..binds.len())
+        .filter(|j| *j != i)
+        .map(|j| {
+            format!("[[siblings]]\nhost_name = \"node-{j}\"\ndomain = \"{}\"\naddr = \"{}\"\n\n", ZONES[j], binds[j].1)
+        })
+        .collect();
+    let Limits { rps, write_rps, value_kb, txn_ops } = STATE;
+    format!(
+        "host_name = \"node-{i}\"\ndomain = \"{}\"\nbind = \"{}\"\npeer_bind = \"{}\"\n\n{siblings}\
+         [services]\ncloud = \"{cloud}\"\nstate = \"{state}\"\n\n\
+         [deployment]\nsize = {}\nzones = {ZONES:?}\n\n[[deployment.teams]]\nname = \"demo\"\n\n\
+         [deployment.workers]\nreport_s = {REPORT_S:?}\nlease_s = {LEASE_S:?}\ngang_wait_s = {GANG_WAIT_S:?}\n\
+         gang_peer_s = {GANG_PEER_S:?}\ncancel_s = {CANCEL_S:?}\n\n\
+         [deployment.state]\nrps = {rps:?}\nwrite_rps = {write_rps:?}\nvalue_kb = {value_kb:?}\ntxn_ops = {txn_ops}\n\n\
+         [deployment.cloud]\nrps = {CLOUD_RPS:?}\nlist_lag_s = {LIST_LAG_S:?}\n\n\
+         [deployment.quota]\ncores = 0.5\nram_mb = 136.0\nfd_limit = 1000\n",
+        ZONES[i],
+        binds[i].0,
+        binds[i].1,
+        binds.len(),
+    )
+}
+
+/// An address that is free now.
+fn free() -> Result<SocketAddr, Error> {
+    let bound = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr());
+    tried("a free port", bound)
+}
+
+fn program(given: Option<&Path>) -> Result<PathBuf, Error> {
+    let beside = || std::env::current_exe().ok().map(|p| p.with_file_name("coralnotch"));
+    let path = given.map(Path::to_owned).or_else(beside).unwrap_or_else(|| "coralnotch".into());
+    match path.is_file() {
+        true => Ok(path),
+        false => Err(Error::Input(format!(
+            "{} is not there: build it with `cargo build --release --workspace`, or name it with --controller",
+            path.display()
+        ))),
+    }
+}
+
+/// The job that `--demo` submits.
+fn demo() -> Spec {
+    // the protocol's form; the time makes it new to the state service
+    let id = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(1, |d| d.as_millis());
+    Spec {
+        id: format!("j-{id}").into(),
+        class: "demo".into(),
+        team: "demo".into(),
+        shape: Shape::Array,
+        rank: Rank::Normal,
+        tasks: 12,
+        cpus: 1.0,
+        gpus: 0.0,
+        memory: 1.0,
+        image: "demo-image".into(),
+        image_gb: 0.5,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        estimate_s: 4.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
+
+#[derive(Deserialize, Serialize, PartialEq, Clone)]
+struct Stage {
+    stage: String,
+    #[serde(default)]
+    done: u32,
+    #[serde(default)]
+    running: u32,
+}
+
+/// Submits a job and prints each change until it is over.
+async fn follow(to: SocketAddr, spec: &Spec) -> Result<(), Error> {
+    let (client, began, limit) = (Client::default(), Instant::now(), Duration::from_secs(5));
+    let since = || format!("{:5.1} s", began.elapsed().as_secs_f64());
+    loop {
+        match client.send(to, "POST", "/v2/runs", Some(&http::encode(spec)), limit).await {
+            Ok((200 | 201, _)) => break,
+            Ok((status @ (400 | 422), _)) => return Err(Error::Failed(format!("{} is refused: {status}", spec.id))),
+            _ => smol::Timer::after(Duration::from_secs(1)).await,
+        };
+    }
+    say(&format!("{}  {} is submitted: {} tasks of {} s", since(), spec.id, spec.tasks, spec.estimate_s));
+    let mut shown = None;
+    loop {
+        let got = client.send(to, "GET", &format!("/v2/runs/{}", spec.id), None, limit).await;
+        if let Ok((200, body)) = got {
+            if let Ok(s) = http::decode::<Stage>(&body) {
+                if shown.as_ref() != Some(&s) {
+                    say(&format!("{}  {} is {}: {} running, {} done", since(), spec.id, s.stage, s.running, s.done));
+                }
+                if s.stage == "done" || s.stage == "cancelled" {
+                    return Ok(());
+                }
+                shown = Some(s);
+            }
+        }
+        smol::Timer::after(Duration::from_millis(500)).await;
+    }
+}
+
+/// Runs a cluster until `stop` says so.
+pub fn up(options: &Options, stop: smol::channel::Receiver<()>) -> Result<(), Error> {
+    let program = program(options.controller.as_deref())?;
+    let dir =
+        options.dir.clone().unwrap_or_else(|| std::env::temp_dir().join(format!("coralnotch-{}", std::process::id())));
+    tried(dir.display().to_string(), fs::create_dir_all(&dir))?;
+    let ex = Rc::new(LocalExecutor::new());
+    smol::block_on(ex.run(async {
+        let bind = |port: u16| TcpListener::bind(("127.0.0.1", port));
+        let (state_on, cloud_on) = (tried("state service", bind(0).await)?, tried("cloud", bind(0).await)?);
+        let users_on = tried(format!("port {} for users", options.port), bind(options.port).await)?;
+        let addr = |l: &TcpListener| tried("a listener", l.local_addr());
+        let (state_at, cloud_at, users_at) = (addr(&state_on)?, addr(&cloud_on)?, addr(&users_on)?);
+        let mut binds = Vec::new();
+        for _ in ZONES {
+            binds.push((free()?, free()?));
+        }
+        for i in 0..binds.len() {
+            let file = dir.join(format!("node-{i}.toml"));
+            tried(file.display().to_string(), fs::write(&file, settings(i, &binds, state_at, cloud_at)))?;
+        }
+        let mut rng = Rng::with_seed(options.seed);
+        let cloud = Cloud::new(cloud::Settings {
+            types: types(),
+            capacity: options.capacity,
+            rps: CLOUD_RPS,
+            list_lag_s: LIST_LAG_S,
+            notice_s: 5.0,
+            boot_fail: 0.02,
+        });
+        let how = yard::Settings { lease_s: LEASE_S, gang_wait_s: GANG_WAIT_S, gang_peer_s: GANG_PEER_S };
+        let yard = Yard::new(how, 1.0, rng.fork());
+        let controllers: Vec<Controller> =
+            binds.iter().enumerate().map(|(i, b)| Controller { name: format!("node-{i}"), addr: b.0 }).collect();
+        let world = World::new(State::new(STATE), cloud, yard, controllers, REPORT_S, rng);
+        ex.spawn(world.clone().serve_state(ex.clone(), state_on)).detach();
+        ex.spawn(world.clone().serve_cloud(ex.clone(), cloud_on)).detach();
+        ex.spawn(world.clone().time(ex.clone())).detach();
+        ex.spawn(world.clone().balance(ex.clone(), users_on)).detach();
+        let none = || binds.iter().map(|_| None).collect();
+        let mut nodes =
+            Processes { program, dir: dir.clone(), running: none(), ended: binds.iter().map(|_| None).collect() };
+        for i in 0..binds.len() {
+            nodes.start(i)?;
+            ex.spawn(world.clone().probe(i)).detach();
+        }
+        let work = async {
+            let began = Instant::now();
+            while !(0..binds.len()).any(|i| world.balancer.borrow().healthy(i)) {
+                if began.elapsed() > READY {
+                    return Err(Error::Failed(format!("no controller is ready; see the logs in {}", dir.display())));
+                }
+                nodes.watch(Instant::now())?;
+                smol::Timer::after(Duration::from_millis(50)).await;
+            }
+            say(&format!("ready: submit to {users_at}; settings and logs in {}; Ctrl-C ends it", dir.display()));
+            let shown = async {
+                if options.demo {
+                    follow(users_at, &demo()).await?;
+                }
+                if !options.exit {
+                    std::future::pending::<()>().await;
+                }
+                Ok(())
+            };
+            let kept = async {
+                loop {
+                    nodes.watch(Instant::now())?;
+                    smol::Timer::after(Duration::from_millis(200)).await;
+                }
+            };
+            or(shown, kept).await
+        };
+        let asked = async {
+            let _ = stop.recv().await;
+            Ok(())
+        };
+        let result = or(work, asked).await;
+        drop(nodes);
+        let yard = world.yard.borrow();
+        let (started, killed) = (yard.started, yard.killed);
+        let cost = world.cloud.borrow().cost(Instant::now());
+        say(&format!("{started} tasks started, {killed} killed by a lease; the machines cost {cost:.2}"));
+        if !yard.broken.is_empty() {
+            return Err(Error::Failed(format!("rules broken:\n{}", yard.broken.join("\n"))));
+        }
+        result
+    }))
+}
--- /dev/null
+++ b/packages/emulator/src/yard.rs
@@ -0,0 +1,556 @@
+//! Machines with their workers, as the protocol has them: sessions, leases and
+//! fences, image fetches, gangs, saves.  A plain state machine over all
+//! machines at once, as gangs span them; it also notes each broken rule that
+//! can be seen from where tasks run.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::{Duration, Instant};
+
+use coralnotch_wire::model::{MachineType, Name, Shape, Size, Spec, Task};
+use coralnotch_wire::workers::{Answer, Cause, Command, DirectBody, Report, Reported, TaskState};
+use fastrand::Rng;
+
+/// How workers behave, all in seconds.
+#[derive(Debug, Clone, Copy)]
+pub struct Settings {
+    /// Without an answered report for so long, a worker kills its tasks.
+    pub lease_s: f64,
+    /// How long a gang's task waits for the others.
+    pub gang_wait_s: f64,
+    /// How quickly a gang notices a loss, and how close its stops must be.
+    pub gang_peer_s: f64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Work {
+    Pulling,
+    Gathering {
+        since: Instant,
+    },
+    Running {
+        since: Instant,
+    },
+    /// A mate is gone: it exits then.
+    Alone {
+        until: Instant,
+    },
+    /// Saves until then; all mates have to be told by `told_by`.
+    Flushing {
+        until: Instant,
+        told_by: Instant,
+    },
+    Ended {
+        cause: Cause,
+        saved: Option<bool>,
+    },
+}
+
+#[derive(Debug, Clone)]
+struct Held {
+    attempt: u64,
+    work: Work,
+}
+
+/// A machine with its worker.
+#[derive(Debug)]
+pub struct Machine {
+    /// Type.
+    pub kind: MachineType,
+    /// Zone.
+    pub zone: Name,
+    /// Spot or ordinary.
+    pub spot: bool,
+    /// Where its worker takes direct commands.
+    pub address: Name,
+    /// When the cloud takes it.
+    pub taken: Option<Instant>,
+    /// Something changed that is worth a report.
+    pub changed: bool,
+    session: u64,
+    tally: u64,
+    token: u64,
+    renewed: Instant,
+    /// Relative to its type.
+    speed: f64,
+    tasks: BTreeMap<Task, Held>,
+    /// Images, with when they are here; the last used last.
+    images: Vec<(Name, f64, Instant)>,
+}
+
+/// A report on its way: only its answer, in time, counts.
+#[derive(Debug, Clone, Copy)]
+pub struct Sent {
+    session: u64,
+    at: Instant,
+}
+
+/// All machines, and what users uploaded.
+#[derive(Debug)]
+pub struct Yard {
+    settings: Settings,
+    machines: BTreeMap<Name, Machine>,
+    specs: HashMap<Name, Spec>,
+    /// Completed tasks of each job; their results are kept.
+    done: HashMap<Name, BTreeSet<u32>>,
+    /// Saved progress, in seconds of the estimate; by job for gangs.
+    saved: HashMap<Task, f64>,
+    rng: Rng,
+    /// How long a task runs for each second of its estimate.
+    pub pace: f64,
+    /// Rules that were seen broken.
+    pub broken: Vec<String>,
+    /// Tasks that began to run.
+    pub started: u64,
+    /// Tasks killed by the lease of their worker.
+    pub killed: u64,
+}
+
+fn seconds(s: f64) -> Duration {
+    Duration::from_secs_f64(s.clamp(0.0, 1e9))
+}
+
+impl Yard {
+    /// An empty yard.
+    pub fn new(settings: Settings, pace: f64, rng: Rng) -> Yard {
+        Yard {
+            settings,
+            machines: BTreeMap::new(),
+            specs: HashMap::new(),
+            done: HashMap::new(),
+            saved: HashMap::new(),
+            rng,
+            pace,
+            broken: Vec::new(),
+            started: 0,
+            killed: 0,
+        }
+    }
+
+    /// A user uploads a job's description; the first one stays.
+    pub fn upload(&mut self, spec: Spec) {
+        self.specs.entry(spec.id.clone()).or_insert(spec);
+    }
+
+    /// How many tasks of a job are done.
+    pub fn done(&self, job: &str) -> usize {
+        self.done.get(job).map_or(0, BTreeSet::len)
+    }
+
+    /// The machines.
+    pub fn machines(&self) -> &BTreeMap<Name, Machine> {
+        &self.machines
+    }
+
+    /// A machine, to be changed.
+    pub fn machine(&mut self, name: &str) -> Option<&mut Machine> {
+        self.machines.get_mut(name)
+    }
+
+    /// A machine is up.
+    pub fn up(&mut self, name: Name, kind: MachineType, zone: Name, spot: bool, address: Name, now: Instant) {
+        let m = Machine {
+            kind,
+            zone,
+            spot,
+            address,
+            taken: None,
+            changed: true,
+            session: 1,
+            tally: 0,
+            token: 0,
+            renewed: now,
+            speed: 0.95 + 0.1 * self.rng.f64(),
+            tasks: BTreeMap::new(),
+            images: Vec::new(),
+        };
+        self.machines.insert(name, m);
+    }
+
+    /// A machine and all on it is gone.
+    pub fn gone(&mut self, name: &str) {
+        self.machines.remove(name);
+    }
+
+    /// A machine's report; `None` if there is no such machine.
+    pub fn report(&mut self, name: &str, now: Instant) -> Option<(Report, Sent)> {
+        let m = self.machines.get_mut(name)?;
+        m.tally += 1;
+        m.changed = false;
+        let one = |(task, held): (&Task, &Held)| {
+            let (state, cause, saved) = match held.work {
+                Work::Pulling => (TaskState::Pulling, None, None),
+                Work::Gathering { .. } => (TaskState::Gathering, None, None),
+                Work::Running { .. } | Work::Alone { .. } => (TaskState::Running, None, None),
+                Work::Flushing { .. } => (TaskState::Flushing, None, None),
+                Work::Ended { cause, saved } => (TaskState::Ended, Some(cause), saved),
+            };
+            Reported { task: task.clone(), attempt: held.attempt, state, cause, saved }
+        };
+        let report = Report {
+            machine: name.into(),
+            address: m.address.clone(),
+            kind: m.kind.name.clone(),
+            zone: m.zone.clone(),
+            spot: m.spot,
+            session: m.session,
+            tally: m.tally,
+            token: m.token,
+            notice_s: m.taken.map(|t| t.saturating_duration_since(now).as_secs_f64()),
+            tasks: m.tasks.iter().map(one).collect(),
+        };
+        Some((report, Sent { session: m.session, at: now }))
+    }
+
+    /// The answer to a report.  One for an earlier session, or with a lower
+    /// token, is dropped.
+    pub fn answered(&mut self, name: &str, sent: Sent, answer: Answer, now: Instant) {
+        let Some(m) = self.machines.get_mut(name) else { return };
+        if sent.session != m.session || answer.token < m.token {
+            return;
+        }
+        m.changed |= answer.token > m.token;
+        m.token = answer.token;
+        m.renewed = sent.at;
+        self.execute(name, answer.orders, now);
+    }
+
+    /// A direct command; whether it was executed.
+    pub fn command(&mut self, name: &str, body: DirectBody, now: Instant) -> bool {
+        let Some(m) = self.machines.get_mut(name) else { return false };
+        if body.session != m.session || body.token < m.token {
+            return false;
+        }
+        m.token = body.token;
+        self.execute(name, body.orders, now);
+        true
+    }
+
+    fn execute(&mut self, name: &str, orders: Vec<Command>, now: Instant) {
+        for o in orders {
+            match o {
+                Command::Run { task, attempt } => self.run(name, task, attempt, now),
+                Command::Halt { task, attempt, grace } => self.halt(name, &task, attempt, grace, now),
+                Command::Reap { task, attempt } => {
+                    let Some(m) = self.machines.get_mut(name) else { return };
+                    if m.tasks.get(&task).is_some_and(|h| h.attempt == attempt && matches!(h.work, Work::Ended { .. }))
+                    {
+                        m.tasks.remove(&task);
+                    }
+                }
+            }
+        }
+        if let Some(m) = self.machines.get_mut(name) {
+            m.changed = true;
+        }
+    }
+
+    fn run(&mut self, name: &str, task: Task, attempt: u64, now: Instant) {
+        let spec = self.specs.get(&task.job).filter(|s| task.index < s.tasks).cloned();
+        let Some(m) = self.machines.get_mut(name) else { return };
+        let mut used = Size::default();
+        for (t, _) in m.tasks.iter().filter(|(_, h)| !matches!(h.work, Work::Ended { .. })) {
+            if let Some(s) = self.specs.get(&t.job) {
+                used.give(&s.size());
+            }
+        }
+        let refuse = |cause| Held { attempt, work: Work::Ended { cause, saved: None } };
+        let held = match (m.tasks.get(&task), &spec) {
+            // again, or busy with another attempt: the listing shows which
+            (Some(_), _) => return,
+            (None, None) => refuse(Cause::NoSuch),
+            (None, Some(s)) => {
+                let mut free = m.kind.size();
+                free.take(&used);
+                if free.holds(&s.size()) {
+                    Held { attempt, work: Work::Pulling }
+                } else {
+                    refuse(Cause::NoRoom)
+                }
+            }
+        };
+        if let (Work::Pulling, Some(s)) = (held.work, &spec) {
+            if !m.images.iter().any(|i| i.0 == s.image) {
+                let rate = (m.kind.fetch_gb_per_s * (0.67 + 0.66 * self.rng.f64())).max(1e-6);
+                m.images.push((s.image.clone(), s.image_gb, now + seconds(s.image_gb / rate)));
+                while m.images.len() > 1 && m.images.iter().map(|i| i.1).sum::<f64>() > m.kind.cache_gb {
+                    m.images.remove(0);
+                }
+            }
+        }
+        m.tasks.insert(task, held);
+    }
+
+    fn halt(&mut self, name: &str, task: &Task, attempt: u64, grace: f64, now: Instant) {
+        let Some(spec) = self.specs.get(&task.job).cloned() else { return };
+        let told_by = now + seconds(self.settings.gang_peer_s);
+        let Some(m) = self.machines.get_mut(name) else { return };
+        let speed = m.speed;
+        let Some(held) = m.tasks.get_mut(task).filter(|h| h.attempt == attempt) else { return };
+        match held.work {
+            Work::Running { since } if spec.checkpoint_s > 0.0 && grace >= spec.save_s => {
+                held.work = Work::Flushing { until: now + seconds(spec.save_s), told_by };
+                self.keep(task, &spec, now.saturating_duration_since(since).as_secs_f64() * speed, false);
+            }
+            Work::Flushing { .. } if grace > 0.0 => {}
+            Work::Ended { .. } => {}
+            Work::Running { since } => {
+                held.work = Work::Ended { cause: Cause::Stopped, saved: None };
+                self.keep(task, &spec, now.saturating_duration_since(since).as_secs_f64() * speed, true);
+            }
+            _ => held.work = Work::Ended { cause: Cause::Stopped, saved: None },
+        }
+    }
+
+    /// Whose progress a task's is: its gang's, or its own.
+    fn unit(task: &Task, spec: &Spec) -> Task {
+        let index = if spec.shape == Shape::Gang { 0 } else { task.index };
+        Task { job: task.job.clone(), index }
+    }
+
+    /// Progress made since a start, all of it or up to the last checkpoint.
+    fn keep(&mut self, task: &Task, spec: &Spec, ran: f64, checkpoints_only: bool) {
+        if spec.checkpoint_s <= 0.0 {
+            return;
+        }
+        let have = self.saved.entry(Self::unit(task, spec)).or_default();
+        let all = *have + ran / self.pace.max(1e-9);
+        let kept = if checkpoints_only { (all / spec.checkpoint_s).floor() * spec.checkpoint_s } else { all };
+        *have = have.max(kept.min(spec.estimate_s));
+    }
+
+    /// Time passes: leases end, images arrive, gangs meet, tasks complete.
+    pub fn step(&mut self, now: Instant) {
+        let lease = seconds(self.settings.lease_s);
+        for m in self.machines.values_mut() {
+            if now.saturating_duration_since(m.renewed) > lease {
+                self.killed += m.tasks.values().filter(|h| !matches!(h.work, Work::Ended { .. })).count() as u64;
+                m.tasks.clear();
+                m.session += 1;
+                m.renewed = now;
+                m.changed = true;
+            }
+        }
+        // gangs: where their tasks are, by attempt
+        let mut mates: HashMap<(Name, u64), (u32, u32)> = HashMap::new();
+        for m in self.machines.values() {
+            for (t, h) in &m.tasks {
+                let c = mates.entry((t.job.clone(), h.attempt)).or_default();
+                match h.work {
+                    Work::Gathering { .. } => c.0 += 1,
+                    Work::Running { .. } | Work::Flushing { .. } => c.1 += 1,
+                    Work::Ended { cause: Cause::Done, .. } | Work::Ended { saved: Some(true), .. } => c.1 += 1,
+                    _ => {}
+                }
+            }
+        }
+        let names: Vec<Name> = self.machines.keys().cloned().collect();
+        for name in names {
+            let Some(m) = self.machines.get(&name) else { continue };
+            let tasks: Vec<(Task, Held)> = m.tasks.iter().map(|(t, h)| (t.clone(), h.clone())).collect();
+            for (task, held) in tasks {
+                let Some(spec) = self.specs.get(&task.job).cloned() else { continue };
+                let gang = spec.shape == Shape::Gang;
+                let (gathered, going) = mates.get(&(task.job.clone(), held.attempt)).copied().unwrap_or_default();
+                let next = self.next(&name, &task, &spec, held.work, gang.then_some((gathered, going)), now);
+                if next != held.work {
+                    if let Some(m) = self.machines.get_mut(&name) {
+                        m.changed = true;
+                        m.tasks.insert(task, Held { attempt: held.attempt, work: next });
+                    }
+                }
+            }
+        }
+    }
+
+    fn next(
+        &mut self,
+        name: &Name,
+        task: &Task,
+        spec: &Spec,
+        work: Work,
+        gang: Option<(u32, u32)>,
+        now: Instant,
+    ) -> Work {
+        let Some(m) = self.machines.get(name) else { return work };
+        let (speed, peer) = (m.speed, seconds(self.settings.gang_peer_s));
+        let ended = |cause, saved| Work::Ended { cause, saved };
+        match work {
+            Work::Pulling => {
+                if m.images.iter().any(|i| i.0 == spec.image && i.2 > now) {
+                    return work;
+                }
+                self.check(name, task, spec);
+                if self.done.get(&task.job).is_some_and(|d| d.contains(&task.index)) {
+                    ended(Cause::Done, None)
+                } else if gang.is_some() {
+                    Work::Gathering { since: now }
+                } else {
+                    self.started += 1;
+                    Work::Running { since: now }
+                }
+            }
+            Work::Gathering { since } => {
+                let (gathered, going) = gang.unwrap_or_default();
+                if gathered + going >= spec.tasks {
+                    self.started += 1;
+                    Work::Running { since: now }
+                } else if now.saturating_duration_since(since) > seconds(self.settings.gang_wait_s) {
+                    ended(Cause::Alone, None)
+                } else {
+                    work
+                }
+            }
+            Work::Running { since } => {
+                let ran = now.saturating_duration_since(since).as_secs_f64() * speed;
+                let left = spec.estimate_s - self.saved.get(&Self::unit(task, spec)).copied().unwrap_or(0.0);
+                if spec.shape != Shape::Service && ran >= left * self.pace {
+                    let done = self.done.entry(task.job.clone()).or_default();
+                    match gang {
+                        Some(_) => done.extend(0..spec.tasks),
+                        None => drop(done.insert(task.index)),
+                    }
+                    ended(Cause::Done, None)
+                } else if gang.is_some() && self.done.get(&task.job).is_some_and(|d| d.contains(&task.index)) {
+                    ended(Cause::Done, None)
+                } else if gang.is_some_and(|(gathered, going)| gathered + going < spec.tasks) {
+                    Work::Alone { until: now + peer }
+                } else {
+                    work
+                }
+            }
+            Work::Alone { until } if until <= now => ended(Cause::MatesGone, None),
+            Work::Flushing { until, told_by } if until <= now => match gang {
+                // a gang's save counts once all of it was told in time
+                Some((_, going)) if going < spec.tasks => {
+                    if told_by <= now {
+                        ended(Cause::MatesGone, None)
+                    } else {
+                        work
+                    }
+                }
+                _ => ended(Cause::Stopped, Some(true)),
+            },
+            w => w,
+        }
+    }
+
+    /// What the rules say of a start: one machine a task, and where it may be.
+    fn check(&mut self, name: &Name, task: &Task, spec: &Spec) {
+        let Some(m) = self.machines.get(name) else { return };
+        let here =
+            |o: &Machine| o.tasks.get(task).is_some_and(|h| !matches!(h.work, Work::Ended { .. } | Work::Pulling));
+        for (other, _) in self.machines.iter().filter(|(n, o)| *n != name && here(o)) {
+            self.broken.push(format!("ran_twice: {task} starts on {name} while it is on {other}"));
+        }
+        let right = spec.types.as_ref().is_none_or(|t| t.contains(&m.kind.name))
+            && spec.zone.as_ref().is_none_or(|z| *z == m.zone)
+            && (spec.spot || !m.spot);
+        if !right {
+            self.broken.push(format!("wrong_place: {task} starts on {name}"));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use coralnotch_wire::example::spec;
+
+    fn yard(machines: usize, now: Instant) -> Yard {
+        let s = Settings { lease_s: 10.0, gang_wait_s: 5.0, gang_peer_s: 1.0 };
+        let mut y = Yard::new(s, 1.0, Rng::with_seed(1));
+        let kind = MachineType {
+            name: "t".into(),
+            cpus: 2.0,
+            gpus: 0.0,
+            memory: 8.0,
+            cache_gb: 10.0,
+            fetch_gb_per_s: 1.0,
+            price: 1.0,
+            spot_price: 0.5,
+            boot_s: 1.0,
+            zones: vec!["z".into()],
+        };
+        for i in 0..machines {
+            y.up(format!("i-{i}").into(), kind.clone(), "z".into(), false, "127.0.0.1:9".into(), now);
+        }
+        y
+    }
+
+    fn task(index: u32) -> Task {
+        Task { job: "j-000001".into(), index }
+    }
+
+    fn run(y: &mut Yard, machine: &str, token: u64, index: u32, now: Instant) -> bool {
+        let orders = vec![Command::Run { task: task(index), attempt: 1 }];
+        y.command(machine, DirectBody { token, session: 1, orders }, now)
+    }
+
+    fn states(y: &mut Yard, machine: &str, now: Instant) -> Vec<(TaskState, Option<Cause>)> {
+        y.report(machine, now).map(|r| r.0.tasks.iter().map(|t| (t.state, t.cause)).collect()).unwrap_or_default()
+    }
+
+    /// A lower token does nothing, and a lease that ends takes the tasks and
+    /// the session with it.
+    #[test]
+    fn fences_and_leases_hold() {
+        let t0 = Instant::now();
+        let mut y = yard(1, t0);
+        y.upload((*spec("j-000001", 3)).clone());
+        assert!(run(&mut y, "i-0", 5, 0, t0));
+        assert!(!run(&mut y, "i-0", 4, 1, t0), "a former leader's");
+        assert!(run(&mut y, "i-0", 5, 1, t0) && run(&mut y, "i-0", 5, 2, t0));
+        let refused = (TaskState::Ended, Some(Cause::NoRoom));
+        assert_eq!(states(&mut y, "i-0", t0), [(TaskState::Pulling, None), (TaskState::Pulling, None), refused]);
+        let (_, sent) = y.report("i-0", t0).expect("it is there");
+        let later = t0 + Duration::from_secs(11);
+        y.step(later);
+        assert!(states(&mut y, "i-0", later).is_empty());
+        assert_eq!(y.killed, 2);
+        y.answered("i-0", sent, Answer { token: 9, orders: vec![Command::Run { task: task(0), attempt: 2 }] }, later);
+        assert!(states(&mut y, "i-0", later).is_empty(), "an answer to an earlier session");
+    }
+
+    /// Tasks run for their time and complete; a second copy is noted.
+    #[test]
+    fn tasks_complete_and_a_second_copy_is_seen() {
+        let t0 = Instant::now();
+        let at = |s| t0 + Duration::from_secs(s);
+        let mut y = yard(2, t0);
+        y.upload((*spec("j-000001", 1)).clone());
+        run(&mut y, "i-0", 1, 0, t0);
+        y.step(at(2));
+        assert_eq!(states(&mut y, "i-0", at(2)), [(TaskState::Running, None)]);
+        run(&mut y, "i-1", 1, 0, at(2));
+        y.step(at(4));
+        assert_eq!(y.broken.len(), 1, "{:?}", y.broken);
+        for m in ["i-0", "i-1"] {
+            let (_, sent) = y.report(m, at(4)).expect("it is there");
+            y.answered(m, sent, Answer { token: 1, orders: vec![] }, at(4));
+        }
+        y.step(at(13));
+        assert_eq!(states(&mut y, "i-0", at(13)), [(TaskState::Ended, Some(Cause::Done))]);
+        assert_eq!(y.done("j-000001"), 1);
+    }
+
+    /// A gang waits, starts together, and falls with one of its tasks.
+    #[test]
+    fn gangs_start_and_fall_together() {
+        let t0 = Instant::now();
+        let at = |s| t0 + Duration::from_secs(s);
+        let mut y = yard(2, t0);
+        y.upload(Spec { shape: Shape::Gang, ..(*spec("j-000001", 2)).clone() });
+        run(&mut y, "i-0", 1, 0, t0);
+        y.step(at(2));
+        assert_eq!(states(&mut y, "i-0", at(2)), [(TaskState::Gathering, None)]);
+        run(&mut y, "i-1", 1, 1, at(2));
+        y.step(at(4));
+        y.step(at(4));
+        y.step(at(4));
+        assert_eq!(states(&mut y, "i-0", at(4)), [(TaskState::Running, None)]);
+        y.gone("i-1");
+        y.step(at(5));
+        y.step(at(7));
+        assert_eq!(states(&mut y, "i-0", at(7)), [(TaskState::Ended, Some(Cause::MatesGone))]);
+    }
+}
--- /dev/null
+++ b/tests/cluster.rs
@@ -0,0 +1,33 @@
+//! Real controller processes among the emulator's stand-ins.
+
+use std::path::PathBuf;
+
+use coralnotch_emulator::up::{up, Error, Options};
+
+fn options(dir: &str) -> Options {
+    Options {
+        port: 0,
+        controller: Some(PathBuf::from(env!("CARGO_BIN_EXE_coralnotch"))),
+        dir: Some(PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(dir)),
+        seed: 1,
+        capacity: 4,
+        demo: true,
+        exit: true,
+    }
+}
+
+/// The README's first command: three controllers get ready, and a job goes
+/// from submitted to done with no rule broken.
+#[test]
+fn a_job_runs_on_a_cluster_on_one_machine() {
+    let (_stop, stopped) = smol::channel::bounded(1);
+    up(&options("demo"), stopped).expect("a cluster that runs a job");
+}
+
+/// What can't be used is said before anything starts.
+#[test]
+fn a_missing_controller_is_said_at_once() {
+    let (_stop, stopped) = smol::channel::bounded(1);
+    let o = Options { controller: Some("/no/such/program".into()), ..options("none") };
+    assert!(matches!(up(&o, stopped), Err(Error::Input(why)) if why.contains("/no/such/program")));
+}
