--- /dev/null
+++ b/packages/client/src/blocking.rs
@@ -0,0 +1,54 @@
+//! The same client for programs without an executor of their own.
+
+use std::time::{Duration, Instant};
+
+use coralnotch_wire::model::Spec;
+
+use crate::client::{Client, JobHandle, Settings};
+use crate::job::Final;
+use crate::Error;
+
+/// A client whose calls block.
+#[derive(Clone)]
+pub struct BlockingClient(Client);
+
+impl BlockingClient {
+    /// Opens a client, see [`Client::open`].
+    pub fn open(settings: Settings) -> Result<BlockingClient, Error> {
+        smol::block_on(Client::open(settings)).map(BlockingClient)
+    }
+
+    /// Submits a job, see [`Client::submit`].
+    pub fn submit(&self, spec: Spec) -> Result<JobHandle, Error> {
+        smol::block_on(self.0.submit(spec))
+    }
+
+    /// Submits jobs, all or none, see [`Client::submit_all`].
+    pub fn submit_all(&self, specs: Vec<Spec>) -> Result<Vec<JobHandle>, Error> {
+        smol::block_on(self.0.submit_all(specs))
+    }
+
+    /// Waits for a job's final answer for at most so long;
+    /// [`Error::Deadline`] says that it is not known yet.
+    pub fn wait(&self, job: &JobHandle, most: Duration) -> Result<Final, Error> {
+        match Instant::now().checked_add(most) {
+            Some(t) => smol::block_on(job.wait_until(t)),
+            None => smol::block_on(job.wait()),
+        }
+    }
+
+    /// Withdraws a job, see [`JobHandle::withdraw`].
+    pub fn withdraw(&self, job: &JobHandle) -> Result<(), Error> {
+        smol::block_on(job.withdraw())
+    }
+
+    /// Takes a job's final answer, see [`JobHandle::take`].
+    pub fn take(&self, job: JobHandle) -> Result<Final, Error> {
+        smol::block_on(job.take())
+    }
+
+    /// The client itself, for everything else.
+    pub fn client(&self) -> &Client {
+        &self.0
+    }
+}
--- /dev/null
+++ b/packages/client/src/journal.rs
@@ -0,0 +1,341 @@
+//! The journal on disk: each job is in it before anything is sent, and its
+//! final answer before anyone is told.
+
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use coralnotch_wire::model::{Name, Spec};
+use redb::{Database, DatabaseError, ReadableTable, StorageError, TableDefinition};
+use serde::{Deserialize, Serialize};
+
+use crate::job::Final;
+
+const JOBS: TableDefinition<&str, &[u8]> = TableDefinition::new("jobs");
+const META: TableDefinition<&str, &str> = TableDefinition::new("meta");
+/// Batches that were taken in, with how many jobs they had.
+const BATCHES: TableDefinition<&str, u64> = TableDefinition::new("batches");
+/// Version of the layout; another one is refused, not rewritten.
+const LAYOUT: &str = "1";
+
+/// A job on record.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// The submission, with its id.
+    pub spec: Spec,
+    /// A controller has it.
+    pub accepted: bool,
+    /// Its user wants it no more.
+    pub withdrawn: bool,
+    /// Its final answer.
+    pub answer: Option<Final>,
+}
+
+/// Why a journal can't be used, and what to do about it.
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    /// Another process, or another client in this one, has it open.
+    #[error("{path} is open elsewhere: close the other client, or give each its own journal")]
+    Open {
+        /// The file.
+        path: PathBuf,
+    },
+    /// It is no journal, or a damaged one.  Nothing was written to it.
+    #[error("{path} is damaged or no journal ({why}): keep it for its jobs' ids, and begin with another file")]
+    Corrupt {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong with it.
+        why: String,
+    },
+    /// It has the layout of another version.
+    #[error("{path} has layout {found}, this version writes {LAYOUT}: open it with the version that wrote it")]
+    Layout {
+        /// The file.
+        path: PathBuf,
+        /// Its layout.
+        found: String,
+    },
+    /// It can be read only.
+    #[error("{path} can't be written ({why}): check who owns it and how its disk is mounted")]
+    ReadOnly {
+        /// The file.
+        path: PathBuf,
+        /// The system's reason.
+        why: String,
+    },
+    /// No room.
+    #[error("no room for {path}: free some; nothing was sent for what could not be written")]
+    Full {
+        /// The file.
+        path: PathBuf,
+    },
+    /// Something else.
+    #[error("{path}: {why}")]
+    Io {
+        /// The file.
+        path: PathBuf,
+        /// The reason.
+        why: String,
+    },
+    /// The id is in the journal with another submission.
+    #[error("{id} is in the journal with another submission: an id is one job's, for good")]
+    Taken {
+        /// The id.
+        id: String,
+    },
+}
+
+/// A journal that this process has open.  Calls block for the disk: from
+/// asynchronous code they belong on a thread for that.
+#[derive(Debug)]
+pub struct Journal {
+    path: PathBuf,
+    db: Database,
+}
+
+fn io_fault(path: &Path, e: &io::Error) -> Fault {
+    let path = path.to_owned();
+    match e.kind() {
+        io::ErrorKind::PermissionDenied | io::ErrorKind::ReadOnlyFilesystem => {
+            Fault::ReadOnly { path, why: e.to_string() }
+        }
+        io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded | io::ErrorKind::FileTooLarge => Fault::Full { path },
+        io::ErrorKind::InvalidData | io::ErrorKind::UnexpectedEof => Fault::Corrupt { path, why: e.to_string() },
+        _ => Fault::Io { path, why: e.to_string() },
+    }
+}
+
+fn fault(path: &Path, e: redb::Error) -> Fault {
+    match e {
+        redb::Error::Io(e) => io_fault(path, &e),
+        redb::Error::DatabaseAlreadyOpen => Fault::Open { path: path.to_owned() },
+        redb::Error::Corrupted(why) => Fault::Corrupt { path: path.to_owned(), why },
+        redb::Error::UpgradeRequired(v) => Fault::Layout { path: path.to_owned(), found: format!("of format {v}") },
+        e => Fault::Io { path: path.to_owned(), why: e.to_string() },
+    }
+}
+
+/// What the store says, small enough to be handed on.
+struct Trouble(Box<redb::Error>);
+
+macro_rules! troubles {
+    ($($error:ident)*) => {
+        $(impl From<redb::$error> for Trouble {
+            fn from(e: redb::$error) -> Trouble {
+                Trouble(Box::new(e.into()))
+            }
+        })*
+    };
+}
+troubles!(TransactionError TableError StorageError CommitError);
+
+impl Journal {
+    /// Opens a journal, or makes one where there is no file.  A file that is
+    /// no journal is left as it is.
+    pub fn open(path: &Path) -> Result<Journal, Fault> {
+        let of = |e: redb::Error| fault(path, e);
+        // an empty file is what a crash leaves of a journal's first moment; it
+        // has no job, as none is sent before it is written
+        let db = Database::create(path).map_err(|e| match e {
+            DatabaseError::Storage(StorageError::Io(e)) => io_fault(path, &e),
+            e => of(e.into()),
+        })?;
+        let journal = Journal { path: path.to_owned(), db };
+        let found = journal.layout()?;
+        match found.as_deref() {
+            None | Some(LAYOUT) => Ok(journal),
+            Some(other) => Err(Fault::Layout { path: path.to_owned(), found: other.to_owned() }),
+        }
+    }
+
+    /// The layout on record; a new journal gets this version's.
+    fn layout(&self) -> Result<Option<String>, Fault> {
+        let run = || -> Result<Option<String>, Trouble> {
+            let txn = self.db.begin_write()?;
+            let found = {
+                let mut meta = txn.open_table(META)?;
+                txn.open_table(JOBS)?;
+                let found = meta.get("layout")?.map(|v| v.value().to_owned());
+                if found.is_none() {
+                    meta.insert("layout", LAYOUT)?;
+                }
+                found
+            };
+            match found {
+                Some(_) => txn.abort()?,
+                None => txn.commit()?,
+            }
+            Ok(found)
+        };
+        run().map_err(|t| fault(&self.path, *t.0))
+    }
+
+    /// All jobs on record, in the order of their ids.
+    pub fn all(&self) -> Result<Vec<Record>, Fault> {
+        let run = || -> Result<Vec<Vec<u8>>, Trouble> {
+            let txn = self.db.begin_read()?;
+            let jobs = txn.open_table(JOBS)?;
+            let mut all = Vec::new();
+            for row in jobs.iter()? {
+                all.push(row?.1.value().to_vec());
+            }
+            Ok(all)
+        };
+        let rows = run().map_err(|t| fault(&self.path, *t.0))?;
+        rows.iter().map(|r| self.read(r)).collect()
+    }
+
+    fn read(&self, row: &[u8]) -> Result<Record, Fault> {
+        serde_json::from_slice(row).map_err(|e| Fault::Corrupt { path: self.path.clone(), why: e.to_string() })
+    }
+
+    /// Puts new jobs on record, all or none, durably.  A job that is there
+    /// already with the same submission stays as it is.  Returns the records
+    /// as they stand; `None` if a batch of this name was added before.
+    pub fn add(&self, specs: &[Arc<Spec>], batch: Option<&str>) -> Result<Option<Vec<Record>>, Fault> {
+        let run = || -> Result<Result<Option<Vec<Record>>, Fault>, Trouble> {
+            let txn = self.db.begin_write()?;
+            if let Some(batch) = batch {
+                let known = txn.open_table(BATCHES)?.insert(batch, specs.len() as u64)?.is_some();
+                if known {
+                    return Ok(Ok(None));
+                }
+            }
+            let mut records = Vec::with_capacity(specs.len());
+            {
+                let mut jobs = txn.open_table(JOBS)?;
+                for spec in specs {
+                    let old = jobs.get(&*spec.id)?.map(|v| self.read(v.value()));
+                    let record = match old {
+                        Some(Ok(r)) if r.spec == **spec => r,
+                        Some(Ok(_)) => return Ok(Err(Fault::Taken { id: spec.id.to_string() })),
+                        Some(Err(e)) => return Ok(Err(e)),
+                        None => {
+                            let r = Record { spec: (**spec).clone(), accepted: false, withdrawn: false, answer: None };
+                            jobs.insert(&*spec.id, &*serde_json::to_vec(&r).unwrap_or_default())?;
+                            r
+                        }
+                    };
+                    records.push(record);
+                }
+            }
+            txn.commit()?;
+            Ok(Ok(Some(records)))
+        };
+        run().map_err(|t| fault(&self.path, *t.0))?
+    }
+
+    /// Changes records, durably; those that are not there are passed over.
+    pub fn change(&self, ids: &[Name], how: impl Fn(&mut Record)) -> Result<(), Fault> {
+        let run = || -> Result<Result<(), Fault>, Trouble> {
+            let txn = self.db.begin_write()?;
+            {
+                let mut jobs = txn.open_table(JOBS)?;
+                for id in ids {
+                    let old = jobs.get(&**id)?.map(|v| self.read(v.value()));
+                    let mut record = match old {
+                        None => continue,
+                        Some(Ok(r)) => r,
+                        Some(Err(e)) => return Ok(Err(e)),
+                    };
+                    how(&mut record);
+                    jobs.insert(&**id, &*serde_json::to_vec(&record).unwrap_or_default())?;
+                }
+            }
+            txn.commit()?;
+            Ok(Ok(()))
+        };
+        run().map_err(|t| fault(&self.path, *t.0))?
+    }
+
+    /// Removes a record: its answer has been taken.
+    pub fn remove(&self, id: &str) -> Result<(), Fault> {
+        let run = || -> Result<(), Trouble> {
+            let txn = self.db.begin_write()?;
+            txn.open_table(JOBS)?.remove(id)?;
+            txn.commit()?;
+            Ok(())
+        };
+        run().map_err(|t| fault(&self.path, *t.0))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use coralnotch_wire::example::spec;
+    use std::fs;
+
+    /// A file of its own in the system's directory, gone with this.
+    struct Place(PathBuf);
+
+    impl Place {
+        fn new(name: &str) -> Place {
+            let path = std::env::temp_dir().join(format!("coralnotch-journal-{}-{name}", std::process::id()));
+            let _ = fs::remove_file(&path);
+            Place(path)
+        }
+    }
+
+    impl Drop for Place {
+        fn drop(&mut self) {
+            let _ = fs::remove_file(&self.0);
+        }
+    }
+
+    #[test]
+    fn what_is_on_record_is_there_again() {
+        let place = Place::new("again");
+        let j = Journal::open(&place.0).expect("a new journal");
+        assert!(matches!(Journal::open(&place.0), Err(Fault::Open { .. })));
+        j.add(&[spec("j-1", 1), spec("j-2", 2)], Some("a")).expect("room");
+        assert_eq!(j.add(&[spec("j-9", 1)], Some("a")).expect("room"), None, "a batch of that name was there");
+        j.change(&["j-2".into(), "j-3".into()], |r| r.answer = Some(Final::Done)).expect("room");
+        drop(j);
+        let j = Journal::open(&place.0).expect("the journal");
+        let all = j.all().expect("two jobs");
+        let found: Vec<_> = all.iter().map(|r| (&*r.spec.id, r.answer.clone())).collect();
+        assert_eq!(found, [("j-1", None), ("j-2", Some(Final::Done))]);
+        // the same again is no news; another one of the same id is refused
+        // with all that came beside it
+        assert_eq!(j.add(&[spec("j-2", 2)], None).expect("known").expect("no batch")[0].answer, Some(Final::Done));
+        assert!(matches!(j.add(&[spec("j-4", 1), spec("j-2", 9)], None), Err(Fault::Taken { id }) if id == "j-2"));
+        assert_eq!(j.all().expect("readable").len(), 2);
+        j.remove("j-2").expect("room");
+        assert_eq!(j.all().expect("readable").len(), 1);
+    }
+
+    /// What is no journal, or none any more, is named and left as it is.
+    #[test]
+    fn damaged_and_foreign_files_are_left_alone() {
+        let place = Place::new("foreign");
+        let text = b"the only copy of something else\n".repeat(200);
+        fs::write(&place.0, &text).expect("a file");
+        assert!(matches!(Journal::open(&place.0), Err(Fault::Corrupt { .. })));
+        assert_eq!(fs::read(&place.0).expect("still there"), text);
+        let place = Place::new("layout");
+        let j = Journal::open(&place.0).expect("a new journal");
+        let txn = j.db.begin_write().expect("a transaction");
+        txn.open_table(META).expect("a table").insert("layout", "7").expect("room");
+        txn.commit().expect("room");
+        drop(j);
+        assert!(matches!(Journal::open(&place.0), Err(Fault::Layout { found, .. }) if found == "7"));
+        let place = Place::new("record");
+        let j = Journal::open(&place.0).expect("a new journal");
+        let txn = j.db.begin_write().expect("a transaction");
+        txn.open_table(JOBS).expect("a table").insert("j-1", &b"{\"spec\":"[..]).expect("room");
+        txn.commit().expect("room");
+        assert!(matches!(j.all(), Err(Fault::Corrupt { .. })));
+        assert!(matches!(j.add(&[spec("j-1", 1)], None), Err(Fault::Corrupt { .. })), "not overwritten");
+    }
+
+    #[test]
+    fn what_the_system_says_becomes_what_to_do() {
+        let of = |kind: io::ErrorKind| io_fault(Path::new("x"), &kind.into()).to_string();
+        assert!(of(io::ErrorKind::StorageFull).contains("free some"));
+        assert!(of(io::ErrorKind::ReadOnlyFilesystem).contains("mounted"));
+        assert!(of(io::ErrorKind::PermissionDenied).contains("owns"));
+        assert!(matches!(Journal::open(Path::new("/no/such/dir/journal")), Err(Fault::Io { .. })));
+    }
+}
--- /dev/null
+++ b/packages/client/src/retry.rs
@@ -0,0 +1,100 @@
+//! When to try again: full-jitter backoff, under a budget of retries.
+
+use std::time::{Duration, Instant};
+
+use backon::{BackoffBuilder, ExponentialBuilder};
+
+/// Waits that double from the first to the most, each a random part of its
+/// bound: clients that failed together do not come back together.
+#[derive(Debug, Clone, Copy)]
+pub struct Backoff {
+    /// Bound of the first wait.
+    pub first: Duration,
+    /// Bound of all further waits.
+    pub most: Duration,
+}
+
+/// Doublings after which the bound is the most in any case.
+const DOUBLINGS: u32 = 24;
+
+impl Backoff {
+    /// The wait before try `n` (from 1); `chance` is a random share, 0 to 1.
+    pub fn wait(&self, n: u32, chance: f64) -> Duration {
+        let mut bounds = ExponentialBuilder::default()
+            .with_min_delay(self.first)
+            .with_max_delay(self.most)
+            .without_max_times()
+            .build();
+        let bound = bounds.nth(n.saturating_sub(1).min(DOUBLINGS) as usize).unwrap_or(self.most);
+        bound.min(self.most).mul_f64(chance.clamp(0.0, 1.0))
+    }
+}
+
+/// Retries as a share of first tries, so that a service that fails gets little
+/// more than its ordinary load; a trickle is always left, as every job is
+/// pursued to its end.
+#[derive(Debug)]
+pub struct Budget {
+    ratio: f64,
+    most: f64,
+    have: f64,
+    trickle: f64,
+    at: Instant,
+}
+
+impl Budget {
+    /// So many retries a first try, at most `most` saved up, and `trickle` a
+    /// second in any case.
+    pub fn new(ratio: f64, most: f64, trickle: f64, now: Instant) -> Budget {
+        Budget { ratio, most, have: most, trickle, at: now }
+    }
+
+    fn refill(&mut self, now: Instant) {
+        let since = now.saturating_duration_since(self.at).as_secs_f64();
+        self.have = (self.have + since * self.trickle).min(self.most);
+        self.at = self.at.max(now);
+    }
+
+    /// A first try was made.
+    pub fn first(&mut self, now: Instant) {
+        self.refill(now);
+        self.have = (self.have + self.ratio).min(self.most);
+    }
+
+    /// A retry, if there is one left; else how long until there is.
+    pub fn retry(&mut self, now: Instant) -> Result<(), Duration> {
+        self.refill(now);
+        if self.have >= 1.0 {
+            self.have -= 1.0;
+            return Ok(());
+        }
+        Err(Duration::from_secs_f64((1.0 - self.have) / self.trickle.max(1e-6)))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn waits_double_up_to_the_most() {
+        let b = Backoff { first: Duration::from_millis(100), most: Duration::from_secs(5) };
+        let bounds: Vec<u128> = [1, 2, 3, 7, 40, u32::MAX].iter().map(|n| b.wait(*n, 1.0).as_millis()).collect();
+        assert_eq!(bounds, [100, 200, 400, 5000, 5000, 5000]);
+        assert_eq!(b.wait(3, 0.0), Duration::ZERO);
+    }
+
+    #[test]
+    fn retries_are_a_share_of_first_tries_and_never_end() {
+        let t0 = Instant::now();
+        let mut b = Budget::new(0.25, 2.0, 0.5, t0);
+        assert!(b.retry(t0).is_ok() && b.retry(t0).is_ok());
+        assert_eq!(b.retry(t0), Err(Duration::from_secs(2)));
+        for _ in 0..4 {
+            b.first(t0);
+        }
+        assert!(b.retry(t0).is_ok());
+        assert!(b.retry(t0).is_err());
+        assert!(b.retry(t0 + Duration::from_secs(2)).is_ok(), "the trickle");
+    }
+}
--- a/packages/wire/src/http.rs
+++ b/packages/wire/src/http.rs
@@ -147,10 +147,27 @@
     pub close: bool,
     /// Whether the body comes in chunks, which nobody here sends.
     pub chunked: bool,
+    /// `Retry-After` as sent, in either of its forms.
+    pub retry_after: Option<String>,
 }
 
-fn fields(headers: &[httparse::Header<'_>], http10: bool) -> Result<(usize, bool, bool), Error> {
-    let (mut body, mut close, mut chunked) = (None, http10, false);
+/// An answer as a client gets it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Answer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The MessagePack body.
+    pub body: Vec<u8>,
+    /// `Retry-After` as sent, in either of its forms.
+    pub retry_after: Option<String>,
+}
+
+/// Length of the body, whether the peer closes, whether it sends chunks, and
+/// when to come back.
+type Fields = (usize, bool, bool, Option<String>);
+
+fn fields(headers: &[httparse::Header<'_>], http10: bool) -> Result<Fields, Error> {
+    let (mut body, mut close, mut chunked, mut retry_after) = (None, http10, false, None);
     for h in headers {
         if h.name.eq_ignore_ascii_case("content-length") {
             let n: usize = std::str::from_utf8(h.value)
@@ -171,9 +188,11 @@
             }
         } else if h.name.eq_ignore_ascii_case("transfer-encoding") {
             chunked = true;
+        } else if h.name.eq_ignore_ascii_case("retry-after") {
+            retry_after = std::str::from_utf8(h.value).ok().map(|v| v.trim().to_owned());
         }
     }
-    Ok((body.unwrap_or(0), close, chunked))
+    Ok((body.unwrap_or(0), close, chunked, retry_after))
 }
 
 /// Reads the head of a request; `None` while it is incomplete.
@@ -184,10 +203,10 @@
         httparse::Status::Partial if buf.len() > HEAD_LIMIT => Err(Error::Bad("head too long")),
         httparse::Status::Partial => Ok(None),
         httparse::Status::Complete(len) => {
-            let (body, close, chunked) = fields(req.headers, req.version == Some(0))?;
+            let (body, close, chunked, retry_after) = fields(req.headers, req.version == Some(0))?;
             let method = req.method.unwrap_or_default().to_owned();
             let target = req.path.unwrap_or_default().to_owned();
-            Ok(Some(Head { method, target, status: 0, len, body, close, chunked }))
+            Ok(Some(Head { method, target, status: 0, len, body, close, chunked, retry_after }))
         }
     }
 }
@@ -200,9 +219,18 @@
         httparse::Status::Partial if buf.len() > HEAD_LIMIT => Err(Error::Bad("head too long")),
         httparse::Status::Partial => Ok(None),
         httparse::Status::Complete(len) => {
-            let (body, close, chunked) = fields(res.headers, res.version == Some(0))?;
+            let (body, close, chunked, retry_after) = fields(res.headers, res.version == Some(0))?;
             let status = res.code.unwrap_or(0);
-            Ok(Some(Head { method: String::new(), target: String::new(), status, len, body, close, chunked }))
+            Ok(Some(Head {
+                method: String::new(),
+                target: String::new(),
+                status,
+                len,
+                body,
+                close,
+                chunked,
+                retry_after,
+            }))
         }
     }
 }
@@ -487,6 +515,20 @@
         body: Option<&[u8]>,
         limit: Duration,
     ) -> Result<(u16, Vec<u8>), Error> {
+        let answer = self.exchange(addr, method, target, body, limit).await?;
+        Ok((answer.status, answer.body))
+    }
+
+    /// One request, and all that its answer says; an error means that nothing
+    /// is known of its effect.
+    pub async fn exchange(
+        &self,
+        addr: SocketAddr,
+        method: &str,
+        target: &str,
+        body: Option<&[u8]>,
+        limit: Duration,
+    ) -> Result<Answer, Error> {
         let body = body.unwrap_or_default();
         let mut out = Vec::with_capacity(160 + body.len());
         out.extend_from_slice(
@@ -519,7 +561,7 @@
             }
             buf.drain(..head.len);
             buf.truncate(head.body);
-            Ok((head.status, buf))
+            Ok(Answer { status: head.status, body: buf, retry_after: head.retry_after })
         })
         .await;
         if result.is_err() {
--- a/packages/wire/src/model.rs
+++ b/packages/wire/src/model.rs
@@ -279,6 +279,20 @@
     }
 }
 
+/// A job's state as users see it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobState {
+    /// Job.
+    #[serde(rename = "nameId")]
+    pub id: Name,
+    /// `pending`, `running`, `done` or `cancelled`.
+    pub stage: String,
+    /// Completed tasks, for display.
+    pub done: u32,
+    /// Running tasks, for display.
+    pub running: u32,
+}
+
 /// A machine type as the cloud describes it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct MachineType {
--- a/src/client.rs
+++ b/src/client.rs
@@ -7,8 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::http::{self, Client};
-use crate::intake::JobState;
-use crate::model::{valid_id, Spec};
+use crate::model::{valid_id, JobState, Spec};
 use crate::telemetry::Status;
 
 /// Why a command came to nothing.
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 
 use crate::http::{self, Request, Response};
 use coralnotch_core::lookup::{Found, Lookup};
@@ -20,20 +20,6 @@
 use crate::telemetry::{count, Timed};
 use crate::workers::{Answer, Command, Report, Reported, TaskState};
 
-/// A job's state as users see it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct JobState {
-    /// Job.
-    #[serde(rename = "nameId")]
-    pub id: Name,
-    /// `pending`, `running`, `done` or `cancelled`.
-    pub stage: String,
-    /// Completed tasks, for display.
-    pub done: u32,
-    /// Running tasks, for display.
-    pub running: u32,
-}
-
 #[derive(Serialize)]
 struct Redirect<'a> {
     #[serde(rename = "answerTo")]
