--- /dev/null
+++ b/packages/client/examples/nightly.rs
@@ -0,0 +1,65 @@
+//! A program that submits its jobs once, whatever happens to it, and acts on
+//! each answer once.
+//!
+//!     cargo run -p coralnotch-client --example nightly -- 127.0.0.1:7070
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use coralnotch_client::{fresh_id, BlockingClient, Error as ClientError, Final, Settings};
+use coralnotch_wire::model::{Rank, Shape, Spec};
+
+fn job(tasks: u32) -> Result<Spec, Box<dyn Error>> {
+    Ok(Spec {
+        id: fresh_id()?,
+        class: "demo".into(),
+        team: "demo".into(),
+        shape: Shape::Array,
+        rank: Rank::Normal,
+        tasks,
+        cpus: 1.0,
+        gpus: 0.0,
+        memory: 1.0,
+        image: "demo-image".into(),
+        image_gb: 0.5,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        estimate_s: 2.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    })
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let to: SocketAddr = std::env::args().nth(1).ok_or("say where to submit: IP:PORT")?.parse()?;
+    let mut settings = Settings::new(vec![to]);
+    settings.journal = Some("nightly.journal".into());
+    let client = BlockingClient::open(settings)?;
+
+    // killed here and started again, the program takes in nothing twice
+    client.submit_once("tonight", vec![job(1)?, job(2)?, job(3)?])?;
+
+    for handle in client.client().resumed() {
+        let answer = loop {
+            match client.wait(&handle, Duration::from_secs(10)) {
+                Ok(answer) => break answer,
+                // not known yet: the job is pursued meanwhile
+                Err(ClientError::Deadline { .. }) => println!("{} goes on: {:?}", handle.id(), handle.progress()),
+                Err(e) => return Err(e.into()),
+            }
+        };
+        match &answer {
+            Final::Done => println!("{} is done", handle.id()),
+            Final::Cancelled => println!("{} is cancelled", handle.id()),
+            Final::Refused { status, why } => println!("{} is refused: {status} {why}", handle.id()),
+        }
+        // acted on: no later life of this program is given it again
+        client.take(handle)?;
+    }
+    Ok(())
+}
--- a/packages/client/src/blocking.rs
+++ b/packages/client/src/blocking.rs
@@ -28,6 +28,11 @@
         smol::block_on(self.0.submit_all(specs))
     }
 
+    /// Submits a batch once in the journal's life, see [`Client::submit_once`].
+    pub fn submit_once(&self, batch: &str, specs: Vec<Spec>) -> Result<Option<Vec<JobHandle>>, Error> {
+        smol::block_on(self.0.submit_once(batch, specs))
+    }
+
     /// Waits for a job's final answer for at most so long;
     /// [`Error::Deadline`] says that it is not known yet.
     pub fn wait(&self, job: &JobHandle, most: Duration) -> Result<Final, Error> {
--- /dev/null
+++ b/packages/emulator/src/faults.rs
@@ -0,0 +1,166 @@
+//! Faults at given times, from a file that is checked with all its errors at
+//! once.
+//!
+//! ```toml
+//! [[fault]]
+//! kind = "crash"      # of a controller, which is started again
+//! at_s = 3.5
+//! node = 0
+//! ```
+
+use std::time::Duration;
+
+use serde::Deserialize;
+
+/// What goes wrong.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Fault {
+    /// A controller's process is killed and started again.
+    Crash {
+        /// Its number.
+        node: usize,
+    },
+    /// The state service refuses everything for a while.
+    StateOutage {
+        /// How long.
+        lasts: Duration,
+    },
+    /// The cloud refuses everything for a while.
+    CloudOutage {
+        /// How long.
+        lasts: Duration,
+    },
+    /// So many machines die, with no sign.
+    KillMachines {
+        /// How many.
+        count: usize,
+    },
+    /// So many spot machines are taken back, with notice.
+    SpotWave {
+        /// How many.
+        count: usize,
+    },
+}
+
+/// A fault and when, from when the cluster is ready.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Planned {
+    /// When.
+    pub at: Duration,
+    /// What.
+    pub fault: Fault,
+}
+
+#[derive(Deserialize)]
+struct File {
+    #[serde(default, rename = "fault")]
+    faults: Vec<toml::Table>,
+}
+
+/// The latest that a fault may come, and the longest that it may last.
+const LATEST_S: f64 = 24.0 * 3600.0;
+
+/// Reads a plan of faults for so many controllers; the error is all that is
+/// wrong with it, a line each.
+pub fn parse(text: &str, nodes: usize) -> Result<Vec<Planned>, String> {
+    let file: File = toml::from_str(text).map_err(|e| e.to_string().trim().to_owned())?;
+    let (mut plan, mut wrong) = (Vec::new(), Vec::new());
+    for (i, mut t) in file.faults.into_iter().enumerate() {
+        let mut bad = |why: String| wrong.push(format!("fault {}: {why}", i + 1));
+        let before = plan.len();
+        let mut seconds = |key: &str| match t.remove(key) {
+            Some(toml::Value::Float(s)) if (0.0..=LATEST_S).contains(&s) => Duration::from_secs_f64(s),
+            Some(toml::Value::Integer(s)) if (0..=LATEST_S as i64).contains(&s) => Duration::from_secs(s as u64),
+            Some(v) => {
+                bad(format!("{key} = {v} is not a number of seconds from 0 to {LATEST_S}"));
+                Duration::ZERO
+            }
+            None => {
+                bad(format!("{key} is missing"));
+                Duration::ZERO
+            }
+        };
+        let at = seconds("at_s");
+        let kind = t.get("kind").and_then(|k| k.as_str()).unwrap_or_default().to_owned();
+        let lasts = if kind.ends_with("-outage") {
+            match t.remove("for_s") {
+                Some(v) => v.as_float().or(v.as_integer().map(|n| n as f64)).filter(|s| (0.0..=LATEST_S).contains(s)),
+                None => None,
+            }
+        } else {
+            Some(0.0)
+        };
+        t.remove("kind");
+        let mut whole = |key: &str, least: i64, below: i64| match t.remove(key) {
+            Some(toml::Value::Integer(n)) if (least..below).contains(&n) => n as usize,
+            Some(v) => {
+                wrong.push(format!("fault {}: {key} = {v} is not a whole number from {least} to {}", i + 1, below - 1));
+                0
+            }
+            None => {
+                wrong.push(format!("fault {}: {key} is missing", i + 1));
+                0
+            }
+        };
+        let length = Duration::from_secs_f64(lasts.unwrap_or(0.0));
+        let fault = match kind.as_str() {
+            "crash" => Some(Fault::Crash { node: whole("node", 0, nodes as i64) }),
+            "state-outage" => Some(Fault::StateOutage { lasts: length }),
+            "cloud-outage" => Some(Fault::CloudOutage { lasts: length }),
+            "kill-machines" => Some(Fault::KillMachines { count: whole("count", 1, 10_000) }),
+            "spot-wave" => Some(Fault::SpotWave { count: whole("count", 1, 10_000) }),
+            _ => None,
+        };
+        match fault {
+            Some(fault) => plan.push(Planned { at, fault }),
+            None => wrong.push(format!(
+                "fault {}: kind {kind:?} is none of crash, state-outage, cloud-outage, kill-machines, spot-wave",
+                i + 1
+            )),
+        }
+        if lasts.is_none() {
+            wrong.push(format!("fault {}: for_s is missing, or no number of seconds", i + 1));
+        }
+        if plan.len() > before {
+            for key in t.keys() {
+                wrong.push(format!("fault {}: {key} means nothing to {kind}", i + 1));
+            }
+        }
+    }
+    plan.sort_by_key(|p| p.at);
+    match wrong.is_empty() {
+        true => Ok(plan),
+        false => Err(wrong.join("\n")),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_plan_is_read_in_the_order_of_its_times() {
+        let text = "[[fault]]\nkind = \"crash\"\nat_s = 3\nnode = 2\n[[fault]]\nkind = \"state-outage\"\nat_s = 1.5\nfor_s = 2\n";
+        let plan = parse(text, 3).expect("a good plan");
+        let outage = Fault::StateOutage { lasts: Duration::from_secs(2) };
+        assert_eq!(plan[0], Planned { at: Duration::from_millis(1500), fault: outage });
+        assert_eq!(plan[1].fault, Fault::Crash { node: 2 });
+        assert_eq!(parse("", 3), Ok(Vec::new()));
+    }
+
+    #[test]
+    fn all_errors_come_at_once() {
+        let text = "[[fault]]\nkind = \"crash\"\nat_s = -1\nnode = 3\n[[fault]]\nkind = \"flood\"\nat_s = 1\n[[fault]]\nkind = \"state-outage\"\ncount = 2\n";
+        let wrong = parse(text, 3).expect_err("a bad plan");
+        for part in [
+            "fault 1: at_s = -1",
+            "fault 1: node = 3 is not a whole number from 0 to 2",
+            "fault 2: kind \"flood\"",
+            "fault 3: at_s is missing",
+            "fault 3: for_s is missing",
+            "fault 3: count means nothing to state-outage",
+        ] {
+            assert!(wrong.contains(part), "{part} is missing in:\n{wrong}");
+        }
+    }
+}
--- a/packages/emulator/src/lib.rs
+++ b/packages/emulator/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod balancer;
 pub mod cloud;
+pub mod faults;
 pub mod serve;
 pub mod state;
 pub mod up;
--- a/packages/emulator/src/main.rs
+++ b/packages/emulator/src/main.rs
@@ -32,8 +32,8 @@
         return ExitCode::FAILURE;
     }
     let Command::Up(options) = &args.command;
-    match up(options, stopped) {
-        Ok(()) => ExitCode::SUCCESS,
+    match up(options, stopped, |_| ()) {
+        Ok(_) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("coralnotch-emulator: {e}");
             match e {
--- a/packages/emulator/src/state.rs
+++ b/packages/emulator/src/state.rs
@@ -211,6 +211,12 @@
         self.keys.len()
     }
 
+    /// The keys under a prefix.
+    pub fn under(&self, prefix: &str) -> Vec<String> {
+        let from = prefix.to_owned();
+        self.keys.range(from..).map(|k| k.0).take_while(|k| k.starts_with(prefix)).cloned().collect()
+    }
+
     /// Whether there are no keys.
     pub fn is_empty(&self) -> bool {
         self.keys.is_empty()
--- a/packages/emulator/src/up.rs
+++ b/packages/emulator/src/up.rs
@@ -1,6 +1,7 @@
 //! A cluster on one machine: the stand-ins in this process, and controllers as
 //! processes of their own.
 
+use std::collections::{HashMap, VecDeque};
 use std::fs;
 use std::io::{self, Write};
 use std::net::SocketAddr;
@@ -10,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use coralnotch_wire::http::{self, Client};
-use coralnotch_wire::model::{MachineType, Rank, Shape, Spec};
+use coralnotch_wire::model::{MachineType, Name, Rank, Shape, Spec};
 use fastrand::Rng;
 use futures_lite::future::or;
 use serde::{Deserialize, Serialize};
@@ -18,6 +19,7 @@
 use smol::LocalExecutor;
 
 use crate::cloud::{self, Cloud};
+use crate::faults::{self, Fault, Planned};
 use crate::serve::{Controller, World};
 use crate::state::{Limits, State};
 use crate::yard::{self, Yard};
@@ -62,6 +64,9 @@
     /// Submit a job at once and follow it.
     #[arg(long)]
     pub demo: bool,
+    /// Faults at given times, see docs/emulator.md.
+    #[arg(long)]
+    pub faults: Option<PathBuf>,
     /// With --demo: end when the job is done.
     #[arg(long, requires = "demo")]
     pub exit: bool,
@@ -90,6 +95,23 @@
     r.map_err(|error| Error::Io { what: what.into(), error })
 }
 
+/// What came of a cluster's life.
+#[derive(Debug, Clone, Default)]
+pub struct Report {
+    /// Tasks that began to run.
+    pub started: u64,
+    /// Tasks killed by the lease of their worker.
+    pub killed: u64,
+    /// What the machines cost, in the types' currency.
+    pub cost: f64,
+    /// Rules that were seen broken.
+    pub broken: Vec<String>,
+    /// Keys that the state service held at the end.
+    pub keys: Vec<String>,
+    /// When each job's last task completed.
+    pub completed: HashMap<Name, Instant>,
+}
+
 /// Controllers' processes; they end with this.
 struct Processes {
     program: PathBuf,
@@ -115,6 +137,13 @@
         Ok(())
     }
 
+    /// Kills a controller; it is started again like any that ended.
+    fn crash(&mut self, i: usize) {
+        if let Some(c) = self.running.get_mut(i).and_then(Option::as_mut) {
+            let _ = c.kill();
+        }
+    }
+
     /// Starts again what ended a while ago.
     fn watch(&mut self, now: Instant) -> Result<(), Error> {
         for i in 0..self.running.len() {
@@ -272,8 +301,57 @@
     }
 }
 
-/// Runs a cluster until `stop` says so.
-pub fn up(options: &Options, stop: smol::channel::Receiver<()>) -> Result<(), Error> {
+fn plan(options: &Options) -> Result<Vec<Planned>, Error> {
+    let Some(file) = &options.faults else { return Ok(Vec::new()) };
+    let text = fs::read_to_string(file).map_err(|e| Error::Input(format!("{}: {e}", file.display())))?;
+    faults::parse(&text, ZONES.len()).map_err(|e| Error::Input(format!("{}:\n{e}", file.display())))
+}
+
+/// Carries out one fault; what ends it comes later.
+fn strike(world: &Rc<World>, ex: &Rc<LocalExecutor<'static>>, nodes: &mut Processes, fault: Fault) {
+    let (now, w) = (Instant::now(), world.clone());
+    match fault {
+        Fault::Crash { node } => nodes.crash(node),
+        Fault::StateOutage { lasts } => {
+            world.state.borrow_mut().fail(now);
+            let over = async move {
+                smol::Timer::after(lasts).await;
+                w.state.borrow_mut().heal(Instant::now());
+            };
+            ex.spawn(over).detach();
+        }
+        Fault::CloudOutage { lasts } => {
+            world.cloud.borrow_mut().fail(true);
+            let over = async move {
+                smol::Timer::after(lasts).await;
+                w.cloud.borrow_mut().fail(false);
+            };
+            ex.spawn(over).detach();
+        }
+        Fault::KillMachines { count } | Fault::SpotWave { count } => {
+            let wave = matches!(fault, Fault::SpotWave { .. });
+            let mut rng = world.rng.borrow_mut();
+            let mut names: Vec<Name> = world.yard.borrow().machines().keys().cloned().collect();
+            rng.shuffle(&mut names);
+            let mut cloud = world.cloud.borrow_mut();
+            let hit = |n: &Name| match wave {
+                true => cloud.take_back(n, &mut rng, now),
+                false => cloud.kill(n, now),
+            };
+            let events = names.iter().filter_map(hit).take(count).collect();
+            drop((cloud, rng));
+            w.carry_out(ex, events);
+        }
+    }
+}
+
+/// Runs a cluster until `stop` says so; `ready` learns where users come.
+pub fn up(
+    options: &Options,
+    stop: smol::channel::Receiver<()>,
+    ready: impl FnOnce(SocketAddr),
+) -> Result<Report, Error> {
+    let mut plan: VecDeque<Planned> = plan(options)?.into();
     let program = program(options.controller.as_deref())?;
     let dir =
         options.dir.clone().unwrap_or_else(|| std::env::temp_dir().join(format!("coralnotch-{}", std::process::id())));
@@ -328,6 +406,8 @@
                 smol::Timer::after(Duration::from_millis(50)).await;
             }
             say(&format!("ready: submit to {users_at}; settings and logs in {}; Ctrl-C ends it", dir.display()));
+            ready(users_at);
+            let since = Instant::now();
             let shown = async {
                 if options.demo {
                     follow(users_at, &demo()).await?;
@@ -340,7 +420,12 @@
             let kept = async {
                 loop {
                     nodes.watch(Instant::now())?;
-                    smol::Timer::after(Duration::from_millis(200)).await;
+                    while let Some(p) = plan.front().copied().filter(|p| since.elapsed() >= p.at) {
+                        plan.pop_front();
+                        say(&format!("{:5.1} s  {:?}", since.elapsed().as_secs_f64(), p.fault));
+                        strike(&world, &ex, &mut nodes, p.fault);
+                    }
+                    smol::Timer::after(Duration::from_millis(50)).await;
                 }
             };
             or(shown, kept).await
@@ -351,13 +436,21 @@
         };
         let result = or(work, asked).await;
         drop(nodes);
+        result?;
         let yard = world.yard.borrow();
-        let (started, killed) = (yard.started, yard.killed);
-        let cost = world.cloud.borrow().cost(Instant::now());
+        let report = Report {
+            started: yard.started,
+            killed: yard.killed,
+            cost: world.cloud.borrow().cost(Instant::now()),
+            broken: yard.broken.clone(),
+            keys: world.state.borrow().under(""),
+            completed: yard.completed().clone(),
+        };
+        let Report { started, killed, cost, broken, .. } = &report;
         say(&format!("{started} tasks started, {killed} killed by a lease; the machines cost {cost:.2}"));
-        if !yard.broken.is_empty() {
-            return Err(Error::Failed(format!("rules broken:\n{}", yard.broken.join("\n"))));
+        if !broken.is_empty() {
+            return Err(Error::Failed(format!("rules broken:\n{}", broken.join("\n"))));
         }
-        result
+        Ok(report)
     }))
 }
--- a/packages/emulator/src/yard.rs
+++ b/packages/emulator/src/yard.rs
@@ -92,6 +92,8 @@
     specs: HashMap<Name, Spec>,
     /// Completed tasks of each job; their results are kept.
     done: HashMap<Name, BTreeSet<u32>>,
+    /// When the last task of a job completed.
+    completed: HashMap<Name, Instant>,
     /// Saved progress, in seconds of the estimate; by job for gangs.
     saved: HashMap<Task, f64>,
     rng: Rng,
@@ -117,6 +119,7 @@
             machines: BTreeMap::new(),
             specs: HashMap::new(),
             done: HashMap::new(),
+            completed: HashMap::new(),
             saved: HashMap::new(),
             rng,
             pace,
@@ -136,6 +139,11 @@
         self.done.get(job).map_or(0, BTreeSet::len)
     }
 
+    /// When the last task of each completed job did.
+    pub fn completed(&self) -> &HashMap<Name, Instant> {
+        &self.completed
+    }
+
     /// The machines.
     pub fn machines(&self) -> &BTreeMap<Name, Machine> {
         &self.machines
@@ -409,6 +417,9 @@
                         Some(_) => done.extend(0..spec.tasks),
                         None => drop(done.insert(task.index)),
                     }
+                    if done.len() as u32 >= spec.tasks {
+                        self.completed.entry(task.job.clone()).or_insert(now);
+                    }
                     ended(Cause::Done, None)
                 } else if gang.is_some() && self.done.get(&task.job).is_some_and(|d| d.contains(&task.index)) {
                     ended(Cause::Done, None)
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -43,11 +43,19 @@
         #[arg(long)]
         policy: Option<PathBuf>,
     },
-    /// Submit a job to a running controller.
+    /// Submit a job, or many, and with --wait pursue each to its final answer.
     Submit {
-        /// The job as JSON, in the form of the protocol; - for standard input.
+        /// The job as JSON, in the form of the protocol, or a file of many, a
+        /// line each; - for standard input.  Jobs without `nameId` get one.
         file: String,
         #[command(flatten)]
+        how: crate::submit::How,
+    },
+    /// Follow a job until it is over.
+    Follow {
+        /// The job's id.
+        id: String,
+        #[command(flatten)]
         to: To,
     },
     /// Show how a job stands.
@@ -85,8 +93,10 @@
     json: bool,
 }
 
+/// How often a followed job is asked about.
+const FOLLOW_EVERY: Duration = Duration::from_secs(1);
 /// Exit code for settings and other input that can't be used.
-const BAD_SETTINGS: u8 = 2;
+pub(crate) const BAD_SETTINGS: u8 = 2;
 
 /// Runs the command line.
 pub fn main() -> ExitCode {
@@ -99,6 +109,7 @@
     let (config, policy, run) = match &args.command {
         Command::Serve { config, policy } => (config, policy, true),
         Command::Check { config, policy } => (config, policy, false),
+        Command::Submit { file, how } => return crate::submit::run(file, how),
         other => return ask(other),
     };
     let (settings, checked) = match load(config, policy.as_deref()) {
@@ -125,21 +136,35 @@
 }
 
 /// Prints a line.  A reader that has gone away, such as `head`, is no failure.
-fn say(line: &str) {
+pub(crate) fn say(line: &str) {
     let _ = writeln!(std::io::stdout(), "{line}");
 }
 
 /// Runs a command against a running controller.
 fn ask(command: &Command) -> ExitCode {
-    use crate::client::{job_text, print, read_job, status_text, Controller, Error};
+    use crate::client::{job_text, print, status_text, Controller, Error};
     let at = |to: &To| Controller::new(to.node, Duration::from_secs(to.patience));
     let done = smol::block_on(async {
         Ok(match command {
-            Command::Submit { file, to } => print(&at(to).submit(&read_job(file)?).await?, to.json, job_text),
+            Command::Follow { id, to } => {
+                let at = at(to);
+                let mut last = None;
+                loop {
+                    let s = at.show(id).await?;
+                    if s.stage == "done" || s.stage == "cancelled" {
+                        break print(&s, to.json, job_text);
+                    }
+                    if last.as_ref() != Some(&s) {
+                        say(&print(&s, to.json, job_text));
+                    }
+                    last = Some(s);
+                    smol::Timer::after(FOLLOW_EVERY).await;
+                }
+            }
             Command::Show { id, to } => print(&at(to).show(id).await?, to.json, job_text),
             Command::Withdraw { id, to } => print(&at(to).withdraw(id).await?, to.json, job_text),
             Command::Status { to } => print(&at(to).status().await?, to.json, status_text),
-            Command::Serve { .. } | Command::Check { .. } => String::new(),
+            Command::Serve { .. } | Command::Check { .. } | Command::Submit { .. } => String::new(),
         })
     });
     match done {
--- a/src/client.rs
+++ b/src/client.rs
@@ -1,13 +1,12 @@
 //! The commands that talk to a running controller, as a user's program would.
 
-use std::io::Read;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
 use crate::http::{self, Client};
-use crate::model::{valid_id, JobState, Spec};
+use crate::model::{valid_id, JobState};
 use crate::telemetry::Status;
 
 /// Why a command came to nothing.
@@ -82,11 +81,6 @@
         }
     }
 
-    /// Submits a job; again with the same id is harmless.
-    pub async fn submit(&self, spec: &Spec) -> Result<JobState, Error> {
-        self.ask("POST", "/v2/runs", Some(&http::encode(spec))).await
-    }
-
     /// How a job stands.
     pub async fn show(&self, id: &str) -> Result<JobState, Error> {
         self.ask("GET", &format!("/v2/runs/{}", checked(id)?), None).await
@@ -110,21 +104,6 @@
     }
 }
 
-/// Reads a job from a JSON file, `-` for standard input.
-pub fn read_job(file: &str) -> Result<Spec, Error> {
-    let mut text = String::new();
-    let read = match file {
-        "-" => std::io::stdin().read_to_string(&mut text).map(|_| ()),
-        f => std::fs::read_to_string(f).map(|t| text = t),
-    };
-    read.map_err(|e| Error::Input(format!("{file}: {e}")))?;
-    let spec: Spec = serde_json::from_str(&text).map_err(|e| Error::Input(format!("{file}: {e}")))?;
-    match spec.fault() {
-        Some(why) => Err(Error::Input(format!("{file}: bad value: {why}"))),
-        None => Ok(spec),
-    }
-}
-
 /// What a command prints: for programs as JSON, else as `text` says.
 pub fn print<T: Serialize>(value: &T, json: bool, text: impl FnOnce(&T) -> String) -> String {
     match json {
@@ -188,9 +167,8 @@
     use super::*;
 
     #[test]
-    fn jobs_and_ids_are_checked_before_anything_is_sent() {
+    fn ids_are_checked_before_anything_is_sent() {
         assert!(checked("j-000412").is_ok());
         assert!(checked("../x").is_err());
-        assert!(read_job("/no/such/file").unwrap_err().to_string().contains("/no/such/file"));
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod node;
 pub mod peers;
 pub mod store;
+pub mod submit;
 pub mod telemetry;
 
 pub use coralnotch_core::{cluster, commit, fleet, ledger, lookup, placement, workers};
--- /dev/null
+++ b/src/submit.rs
@@ -0,0 +1,328 @@
+//! `coralnotch submit`: jobs from a file, pursued by the client library.
+//!
+//! With a journal and a file for answers, the command may die and be started
+//! again with the same arguments at any moment: no job is submitted twice, and
+//! the file has one line for each job in the end.
+
+use std::collections::HashSet;
+use std::fs::File;
+use std::io::{self, IsTerminal, Read, Seek, SeekFrom, Write};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use coralnotch_client::{fresh_id, Change, Client, Error, Final, JobHandle, Settings};
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use crate::cli::{say, BAD_SETTINGS};
+use crate::model::{Name, Spec};
+
+/// How to submit.
+#[derive(Debug, Clone, clap::Args)]
+pub struct How {
+    /// Where controllers or a load balancer listen for users; several are
+    /// tried in turn.
+    #[arg(long, value_name = "IP:PORT", value_delimiter = ',', required = true)]
+    node: Vec<SocketAddr>,
+    /// Wait for the final answer of each job.
+    #[arg(long)]
+    wait: bool,
+    /// Keep the jobs here until their answers are taken: the same command
+    /// again goes on where it was.
+    #[arg(long, value_name = "FILE", requires = "wait")]
+    journal: Option<PathBuf>,
+    /// Append each final answer to this file, a JSON line each, once.
+    #[arg(long, value_name = "FILE", requires = "wait")]
+    out: Option<PathBuf>,
+    /// For how many seconds to try until a job is accepted, or with --wait,
+    /// over; 0 for as long as it takes.
+    #[arg(long, default_value_t = 60)]
+    patience: u64,
+    /// Print JSON, for programs.
+    #[arg(long)]
+    json: bool,
+}
+
+/// A final answer, as a line of output.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Line {
+    /// The job.
+    pub id: Name,
+    /// Its answer.
+    pub answer: Final,
+}
+
+fn text(l: &Line) -> String {
+    match &l.answer {
+        Final::Done => format!("{} is done", l.id),
+        Final::Cancelled => format!("{} is cancelled", l.id),
+        Final::Refused { status, why } => format!("{} is refused: {status} {why}", l.id),
+    }
+}
+
+/// Answers on disk: whole lines only, each durable before it counts.
+struct Answers {
+    file: File,
+    have: HashSet<Name>,
+}
+
+impl Answers {
+    fn open(path: &Path) -> Result<Answers, String> {
+        let fault = |e: io::Error| format!("{}: {e}", path.display());
+        let mut file = File::options().read(true).write(true).create(true).truncate(false).open(path).map_err(fault)?;
+        let mut text = Vec::new();
+        file.read_to_end(&mut text).map_err(fault)?;
+        // what a crash cut off is written again
+        let whole = text.iter().rposition(|b| *b == b'\n').map_or(0, |n| n + 1);
+        let mut have = HashSet::new();
+        for (n, line) in text[..whole].split(|b| *b == b'\n').filter(|l| !l.is_empty()).enumerate() {
+            let l: Line =
+                serde_json::from_slice(line).map_err(|e| format!("{}: line {}: {e}", path.display(), n + 1))?;
+            have.insert(l.id);
+        }
+        file.set_len(whole as u64).map_err(fault)?;
+        file.seek(SeekFrom::End(0)).map_err(fault)?;
+        Ok(Answers { file, have })
+    }
+
+    fn add(&mut self, line: &Line) -> io::Result<()> {
+        if self.have.contains(&line.id) {
+            return Ok(());
+        }
+        let mut bytes = serde_json::to_vec(line)?;
+        bytes.push(b'\n');
+        self.file.write_all(&bytes)?;
+        self.file.sync_data()?;
+        self.have.insert(line.id.clone());
+        Ok(())
+    }
+}
+
+/// Jobs of a text: one, or one a line.  The error is all that is wrong.
+fn jobs(file: &str, text: &str) -> Result<Vec<Spec>, String> {
+    let one = |text: &str| -> Result<Spec, String> {
+        let mut v: serde_json::Value = serde_json::from_str(text).map_err(|e| e.to_string())?;
+        if let Some(m) = v.as_object_mut().filter(|m| m.get("nameId").is_none_or(|i| i.is_null())) {
+            m.insert("nameId".into(), fresh_id().map_err(|e| e.to_string())?.as_ref().into());
+        }
+        let spec: Spec = serde_json::from_value(v).map_err(|e| e.to_string())?;
+        match spec.fault() {
+            Some(why) => Err(format!("bad value: {why}")),
+            None => Ok(spec),
+        }
+    };
+    let lines: Vec<&str> = text.lines().filter(|l| !l.trim().is_empty()).collect();
+    // a job may be spread over lines; many are a line each
+    let many = lines.len() > 1 && serde_json::from_str::<serde_json::Value>(lines[0]).is_ok();
+    if !many {
+        return one(text).map(|s| vec![s]).map_err(|e| format!("{file}: {e}"));
+    }
+    let (mut specs, mut wrong, mut ids) = (Vec::new(), Vec::new(), HashSet::new());
+    for (n, line) in text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty()) {
+        match one(line) {
+            Ok(s) if !ids.insert(s.id.clone()) => {
+                wrong.push(format!("{file}: line {}: {} is there twice", n + 1, s.id))
+            }
+            Ok(s) => specs.push(s),
+            Err(e) => wrong.push(format!("{file}: line {}: {e}", n + 1)),
+        }
+    }
+    match wrong.is_empty() {
+        true => Ok(specs),
+        false => Err(wrong.join("\n")),
+    }
+}
+
+fn read(file: &str) -> Result<String, String> {
+    let mut text = String::new();
+    let read = match file {
+        "-" => io::stdin().read_to_string(&mut text).map(|_| ()),
+        f => std::fs::read_to_string(f).map(|t| text = t),
+    };
+    read.map(|()| text).map_err(|e| format!("{file}: {e}"))
+}
+
+/// Why it came to nothing, with the exit code.
+struct Failed(u8, String);
+
+impl From<Error> for Failed {
+    fn from(e: Error) -> Failed {
+        let code = match e {
+            Error::Input(_) | Error::Journal(_) => BAD_SETTINGS,
+            Error::Deadline { .. } | Error::Closed | Error::Random(_) => 1,
+        };
+        Failed(code, e.to_string())
+    }
+}
+
+/// Runs the command.
+pub fn run(file: &str, how: &How) -> ExitCode {
+    match smol::block_on(submit(file, how)) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(Failed(code, why)) => {
+            eprintln!("coralnotch: {why}");
+            ExitCode::from(code)
+        }
+    }
+}
+
+/// Whether all went well.
+async fn submit(file: &str, how: &How) -> Result<bool, Failed> {
+    let bad = |e: String| Failed(BAD_SETTINGS, e);
+    let input = read(file).map_err(bad)?;
+    let specs = jobs(file, &input).map_err(bad)?;
+    let mut answers = how.out.as_deref().map(Answers::open).transpose().map_err(bad)?;
+    let mut settings = Settings::new(how.node.clone());
+    settings.journal = how.journal.clone();
+    settings.open = settings.open.max(specs.len());
+    settings.changes = settings.changes.max(specs.len() * 2);
+    let client = Client::open(settings).await?;
+    let deadline = (how.patience > 0).then(|| Instant::now() + Duration::from_secs(how.patience));
+    let mut changes = client.changes();
+    let total = specs.len() as u64;
+    if how.journal.is_some() {
+        // what this file is, not where: its jobs are taken in once
+        let batch: String = Sha256::digest(input.as_bytes()).iter().map(|b| format!("{b:02x}")).collect();
+        if client.submit_once(&batch, specs).await?.is_none() {
+            eprintln!("coralnotch: {file} was taken in before; going on with what is left");
+        }
+    } else {
+        client.submit_all(specs).await?;
+    }
+    let handles = client.resumed();
+    if !how.wait {
+        return accepted(&handles, &mut changes, deadline, how.json).await;
+    }
+    let bar = match total > 1 && io::stderr().is_terminal() {
+        true => ProgressBar::with_draw_target(Some(total), ProgressDrawTarget::stderr()),
+        false => ProgressBar::hidden(),
+    };
+    if let Ok(style) = ProgressStyle::with_template("{bar:40} {pos}/{len} over, {elapsed}") {
+        bar.set_style(style);
+    }
+    bar.set_position(total.saturating_sub(handles.len() as u64));
+    let wait = |h: JobHandle| async move {
+        let got = match deadline {
+            Some(t) => h.wait_until(t).await,
+            None => h.wait().await,
+        };
+        (h, got)
+    };
+    let mut waiting: FuturesUnordered<_> = handles.into_iter().map(wait).collect();
+    let (mut well, mut late) = (true, 0);
+    while let Some((handle, got)) = waiting.next().await {
+        let answer = match got {
+            Err(Error::Deadline { .. }) => {
+                late += 1;
+                continue;
+            }
+            other => other?,
+        };
+        well &= answer == Final::Done;
+        let line = Line { id: handle.id().clone(), answer };
+        match answers.as_mut() {
+            Some(a) => a.add(&line).map_err(|e| Failed(1, format!("the answers' file: {e}")))?,
+            None if how.json => say(&serde_json::to_string(&line).unwrap_or_default()),
+            None => bar.suspend(|| say(&text(&line))),
+        }
+        bar.inc(1);
+        handle.take().await?;
+    }
+    bar.finish_and_clear();
+    if late > 0 {
+        let again = match how.journal {
+            Some(_) => "they are in the journal: the same command goes on with them",
+            None => "with --journal the same command would go on with them",
+        };
+        return Err(Failed(1, format!("{late} jobs have no final answer yet; {again}")));
+    }
+    Ok(well)
+}
+
+/// Waits until each job is accepted or over, and prints it.
+async fn accepted(
+    handles: &[JobHandle],
+    changes: &mut async_broadcast::Receiver<Change>,
+    deadline: Option<Instant>,
+    json: bool,
+) -> Result<bool, Failed> {
+    let mut open: HashSet<Name> = handles.iter().map(|h| h.id().clone()).collect();
+    let mut well = true;
+    while !open.is_empty() {
+        let next = async { changes.recv().await.ok() };
+        let late = async {
+            match deadline {
+                Some(t) => drop(smol::Timer::at(t).await),
+                None => std::future::pending().await,
+            }
+            None
+        };
+        let Some(c) = futures_lite::future::or(next, late).await else {
+            let ids: Vec<&str> = open.iter().map(|i| &**i).take(3).collect();
+            return Err(Failed(
+                1,
+                format!(
+                    "gave up: {} jobs are not accepted yet ({} …); is a controller running there?",
+                    open.len(),
+                    ids.join(", ")
+                ),
+            ));
+        };
+        if !open.remove(&c.id) {
+            continue;
+        }
+        well &= !matches!(c.answer, Some(Final::Refused { .. }));
+        let stage = match &c.answer {
+            None => "accepted".to_owned(),
+            Some(a) => text(&Line { id: c.id.clone(), answer: a.clone() }),
+        };
+        say(&match (json, &c.answer) {
+            (true, a) => serde_json::json!({ "id": c.id, "accepted": true, "answer": a }).to_string(),
+            (false, None) => format!("{} is {stage}", c.id),
+            (false, Some(_)) => stage,
+        });
+    }
+    Ok(well)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const JOB: &str = r#"{"lane":"demo","crew":"demo","shape":"batch","rank":"normal","pieces":1,"cpus":1.0,"accelerators":0.0,"memGb":1.0,"bundle":"i","sizeGb":0.1,"oneZone":false,"spread":false,"driftwood":true,"expectS":1.0,"markEveryS":0.0,"markTakesS":0.0}"#;
+
+    #[test]
+    fn one_job_or_one_a_line_and_all_errors_at_once() {
+        let pretty = JOB.replace(",\"", ",\n\"");
+        assert_eq!(jobs("f", &pretty).expect("one job over lines").len(), 1);
+        let many = jobs("f", &format!("{JOB}\n\n{JOB}\n")).expect("two jobs");
+        assert_ne!(many[0].id, many[1].id);
+        let own = JOB.replacen('{', "{\"nameId\":\"j-1\",", 1);
+        let wrong = jobs("f", &format!("{own}\n{own}\n{{}}\nnonsense\n")).expect_err("three faults");
+        for part in ["f: line 2: j-1 is there twice", "f: line 3: missing field", "f: line 4:"] {
+            assert!(wrong.contains(part), "{part} is missing in {wrong}");
+        }
+    }
+
+    /// A line that a crash cut off is written again, a whole one never.
+    #[test]
+    fn answers_have_one_whole_line_a_job() {
+        let path = std::env::temp_dir().join(format!("coralnotch-answers-{}", std::process::id()));
+        let line = |id: &str| Line { id: id.into(), answer: Final::Done };
+        std::fs::write(&path, "{\"id\":\"j-1\",\"answer\":\"done\"}\n{\"id\":\"j-2\",\"ans").expect("a file");
+        let mut a = Answers::open(&path).expect("answers");
+        for id in ["j-1", "j-2", "j-2"] {
+            a.add(&line(id)).expect("room");
+        }
+        let text = std::fs::read_to_string(&path).expect("the file");
+        std::fs::write(&path, "something else\n").expect("a file");
+        assert!(Answers::open(&path).is_err());
+        std::fs::remove_file(&path).expect("it is there");
+        assert_eq!(text, "{\"id\":\"j-1\",\"answer\":\"done\"}\n{\"id\":\"j-2\",\"answer\":\"done\"}\n");
+    }
+}
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -12,6 +12,7 @@
         seed: 1,
         capacity: 4,
         demo: true,
+        faults: None,
         exit: true,
     }
 }
@@ -21,7 +22,7 @@
 #[test]
 fn a_job_runs_on_a_cluster_on_one_machine() {
     let (_stop, stopped) = smol::channel::bounded(1);
-    up(&options("demo"), stopped).expect("a cluster that runs a job");
+    up(&options("demo"), stopped, |_| ()).expect("a cluster that runs a job");
 }
 
 /// What can't be used is said before anything starts.
@@ -29,5 +30,5 @@
 fn a_missing_controller_is_said_at_once() {
     let (_stop, stopped) = smol::channel::bounded(1);
     let o = Options { controller: Some("/no/such/program".into()), ..options("none") };
-    assert!(matches!(up(&o, stopped), Err(Error::Input(why)) if why.contains("/no/such/program")));
+    assert!(matches!(up(&o, stopped, |_| ()), Err(Error::Input(why)) if why.contains("/no/such/program")));
 }
