Logs through tracing: lines for people, or JSON with LOG_FORMAT=json

The daemon logged through env_logger, in lines only; programs that collect logs had to take them apart. LOG_LEVEL is as before; a word it does not know means info, as before.

--- a/packages/core/src/cluster/mod.rs
+++ b/packages/core/src/cluster/mod.rs
@@ -168,7 +168,7 @@
 
     fn add_start(&mut self, s: &Start, kind: &Name, zone: &Name, spot: bool, now: Instant) {
         let Some(job) = self.jobs.get_mut(&s.task.job) else {
-            log::error!("a page names {}, whose job is unknown", s.task);
+            tracing::error!("a page names {}, whose job is unknown", s.task);
             return;
         };
         let m = self
--- a/packages/core/src/fleet.rs
+++ b/packages/core/src/fleet.rs
@@ -64,7 +64,14 @@
                 m
             });
             if new {
-                log::info!("machine {} is listed: {} in {}, spot {}, {:?}", l.name, l.kind, l.zone, l.spot, l.stage);
+                tracing::info!(
+                    "machine {} is listed: {} in {}, spot {}, {:?}",
+                    l.name,
+                    l.kind,
+                    l.zone,
+                    l.spot,
+                    l.stage
+                );
                 let held = Duration::from_secs_f64(l.held_s.clamp(0.0, 1e6));
                 m.rented = now.checked_sub(held).unwrap_or(now);
             }
@@ -79,7 +86,7 @@
     /// Names the cloud rented to us.
     pub fn rented(&mut self, r: &Rental, names: &[Name], now: Instant) {
         self.fleet.answered(&r.charter, now);
-        log::info!("rented {} of {} {} in {}, spot {}: {names:?}", names.len(), r.count, r.kind, r.zone, r.spot);
+        tracing::info!("rented {} of {} {} in {}, spot {}: {names:?}", names.len(), r.count, r.kind, r.zone, r.spot);
         if (names.len() as u32) < r.count {
             self.no_capacity(&(r.kind.clone(), r.zone.clone(), r.spot), now);
         }
@@ -103,7 +110,7 @@
         for n in names {
             self.vacate_all(n, now);
             if let Some(m) = self.machines.get_mut(n) {
-                log::info!("machine {n} is gone");
+                tracing::info!("machine {n} is gone");
                 m.gone.get_or_insert(now);
                 m.exited.clear();
             }
@@ -339,7 +346,7 @@
             };
             if let Some(why) = reason {
                 if m.deleting.is_none() {
-                    log::info!("machine {} {why}: returned, with {} tasks", m.name, m.tasks.len());
+                    tracing::info!("machine {} {why}: returned, with {} tasks", m.name, m.tasks.len());
                 }
                 if plan.delete.len() < MOST_DELETES {
                     m.deleting.get_or_insert(now);
@@ -417,7 +424,7 @@
             o.1.take(&size);
         }
         let name = from.name.clone();
-        log::info!("machine {name} is emptied: its {used} replicas fit on others");
+        tracing::info!("machine {name} is emptied: its {used} replicas fit on others");
         if let Some(m) = self.machines.get_mut(&name) {
             m.drain = Some("is emptied");
         }
--- a/packages/core/src/placement/mod.rs
+++ b/packages/core/src/placement/mod.rs
@@ -378,7 +378,7 @@
             pass.hold(ask, *slot);
             let machine = &pass.slots[*slot].m.name;
             for t in victims {
-                log::info!("{t} on {machine} gives way to {}", ask.job.spec.id);
+                tracing::info!("{t} on {machine} gives way to {}", ask.job.spec.id);
                 out.stops.push((machine.clone(), (*t).clone()));
             }
         }
--- a/packages/core/src/placement/pass.rs
+++ b/packages/core/src/placement/pass.rs
@@ -503,11 +503,11 @@
 
     /// Why a task goes where it does, for people.
     pub fn explain(&self, ask: &Ask, index: u32, slot: usize, how: How, image: f64) {
-        if !log::log_enabled!(log::Level::Debug) {
+        if !tracing::enabled!(tracing::Level::DEBUG) {
             return;
         }
         let (spec, w) = (&ask.job.spec, self.weather());
-        log::debug!(
+        tracing::debug!(
             "{}/{index} ({}) goes to {} after {:.1} s: {how:?}, variance {:.3}, load {:.2}; image in {image:.0} s",
             spec.id,
             spec.class,
--- a/packages/core/src/workers.rs
+++ b/packages/core/src/workers.rs
@@ -54,7 +54,7 @@
             .entry(r.machine.clone())
             .or_insert_with(|| Machine::new(r.machine.clone(), r.kind.clone(), r.zone.clone(), r.spot, now));
         if new {
-            log::info!("machine {} reports: {} in {}, spot {}", r.machine, r.kind, r.zone, r.spot);
+            tracing::info!("machine {} reports: {} in {}, spot {}", r.machine, r.kind, r.zone, r.spot);
         }
         if m.gone.is_some() || (r.session, r.tally) <= (m.session, m.tally) {
             // old news, delivered late; its worker waits for no answer
@@ -78,7 +78,7 @@
         }
         match r.notice_s {
             Some(s) if m.notice.is_none() => {
-                log::info!("machine {} is taken back in {s} s", r.machine);
+                tracing::info!("machine {} is taken back in {s} s", r.machine);
                 m.notice = Some(now + Duration::from_secs_f64(s.clamp(0.0, 3600.0)));
                 self.stir = true;
             }
@@ -117,7 +117,7 @@
             .collect();
         m.exited.retain(|task, e| r.tasks.iter().any(|t| t.task == *task && t.attempt == *e));
         for t in gone {
-            log::debug!("{t} is not on {} any more", r.machine);
+            tracing::debug!("{t} is not on {} any more", r.machine);
             self.vacate(&r.machine, &t, now);
         }
         // a start decided for the last session is for this one now
@@ -312,10 +312,10 @@
             // on the machine without a record of it: it counts as present
             // and, unless it is what the job is waiting for, is stopped
             let Some(job) = self.jobs.get_mut(&t.task.job) else {
-                log::error!("{} has {}, of an unknown job", r.machine, t.task);
+                tracing::error!("{} has {}, of an unknown job", r.machine, t.task);
                 return;
             };
-            log::info!("{} has {} attempt {}, which is not recorded", r.machine, t.task, t.attempt);
+            tracing::info!("{} has {} attempt {}, which is not recorded", r.machine, t.task, t.attempt);
             let free = !job.places.contains_key(&t.task.index) && !over && !finishing;
             job.todo.remove(t.task.index);
             let list = job.places.entry(t.task.index).or_default();
@@ -353,7 +353,7 @@
         }
         if phase == Phase::Running && p.running_since.is_none() {
             p.running_since = Some(now);
-            log::debug!(
+            tracing::debug!(
                 "{} runs on {}, {:.1} s after it was placed",
                 t.task,
                 r.machine,
@@ -368,7 +368,7 @@
     fn ended(&mut self, machine: &Name, task: &Task, cause: Cause, over: bool, since: Instant, now: Instant) {
         let rest = self.policy.failure_rest;
         if !matches!(cause, Cause::Stopped) {
-            log::debug!("{task} on {machine} ended: {cause:?}");
+            tracing::debug!("{task} on {machine} ended: {cause:?}");
         }
         if over {
             return;
@@ -414,11 +414,11 @@
                 s.probes += 1;
                 s.since = now + rest * 2u32.pow(s.probes.min(MOST_BACKOFF)) / 2;
                 job.wait_until = Some(s.since);
-                log::info!("{id} fails again: next probe in {:.0} s", (s.since - now).as_secs_f64());
+                tracing::info!("{id} fails again: next probe in {:.0} s", (s.since - now).as_secs_f64());
             }
             Some(_) => {}
             None if !proven && evidence >= 2 && evidence > against => {
-                log::info!("{id} fails on {evidence} machines: taken for broken, probed one task at a time");
+                tracing::info!("{id} fails on {evidence} machines: taken for broken, probed one task at a time");
                 job.suspect = Some(Suspect { since: now, probes: 0 });
                 job.why = SUSPECT;
                 let fetches = |p: &Place| matches!(p.phase, Phase::Ordered | Phase::Pulling);
@@ -436,7 +436,7 @@
                 m.blamed.insert(id.clone());
                 m.rest_until = Some(now + rest * 2);
                 if m.blamed.len() >= 2 && m.drain.is_none() {
-                    log::info!("machine {machine} fails tasks of {} jobs: drained", m.blamed.len());
+                    tracing::info!("machine {machine} fails tasks of {} jobs: drained", m.blamed.len());
                     m.drain = Some(FAILS);
                 }
                 return;
--- a/packages/emulator/src/main.rs
+++ b/packages/emulator/src/main.rs
@@ -23,7 +23,7 @@
 
 fn main() -> ExitCode {
     let args = Args::parse();
-    env_logger::Builder::new().filter_level(log::LevelFilter::Warn).parse_env("LOG_LEVEL").init();
+    tracing_subscriber::fmt().with_max_level(tracing::Level::WARN).with_writer(std::io::stderr).init();
     let (stop, stopped) = smol::channel::bounded(1);
     if let Err(e) = ctrlc::set_handler(move || {
         let _ = stop.try_send(());
--- a/packages/emulator/src/serve.rs
+++ b/packages/emulator/src/serve.rs
@@ -175,7 +175,7 @@
     /// this is dropped.
     async fn worker(self: Rc<Self>, name: Name) {
         let Ok(listener) = TcpListener::bind("127.0.0.1:0").await else {
-            log::error!("no port for {name}");
+            tracing::error!("no port for {name}");
             return;
         };
         let Ok(address) = listener.local_addr() else { return };
@@ -281,7 +281,7 @@
             match on.accept().await {
                 Ok((user, _)) => ex.spawn(self.clone().pass_on(user)).detach(),
                 Err(e) => {
-                    log::error!("balancer: {e}");
+                    tracing::error!("balancer: {e}");
                     smol::Timer::after(Duration::from_millis(100)).await;
                 }
             }
--- a/packages/wire/src/http.rs
+++ b/packages/wire/src/http.rs
@@ -39,7 +39,7 @@
 /// Encodes a body.
 pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
     rmp_serde::to_vec_named(value).unwrap_or_else(|e| {
-        log::error!("cannot encode a message: {e}");
+        tracing::error!("cannot encode a message: {e}");
         vec![0x80]
     })
 }
@@ -384,7 +384,7 @@
             Ok((s, _)) => s,
             Err(e) => {
                 // mostly out of sockets: let some close
-                log::error!("accept: {e}");
+                tracing::error!("accept: {e}");
                 smol::Timer::after(Duration::from_millis(100)).await;
                 continue;
             }
@@ -396,7 +396,7 @@
         ex.spawn(async move {
             let _ = stream.set_nodelay(true);
             if let Err(e) = connection(stream, limits, deadline, &*handler).await {
-                log::trace!("connection ends: {e}");
+                tracing::trace!("connection ends: {e}");
             }
         })
         .detach();
--- a/packages/wire/src/state.rs
+++ b/packages/wire/src/state.rs
@@ -129,7 +129,7 @@
     match read {
         Ok(v) => Some(v),
         Err(e) => {
-            log::error!("stored value at {path} cannot be read: {e}");
+            tracing::error!("stored value at {path} cannot be read: {e}");
             None
         }
     }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,6 +1,6 @@
 //! The command line.
 
-use std::io::Write;
+use std::io::{IsTerminal, Write};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -9,6 +9,7 @@
 
 use clap::{Parser, Subcommand};
 use smol::net::TcpListener;
+use tracing_subscriber::filter::LevelFilter;
 
 use crate::config::Config;
 use crate::http::{serve, ServerLimits};
@@ -101,11 +102,10 @@
 /// Runs the command line.
 pub fn main() -> ExitCode {
     let args = Args::parse();
-    env_logger::Builder::new()
-        .filter_level(log::LevelFilter::Info)
-        .parse_env("LOG_LEVEL")
-        .target(env_logger::Target::Stderr)
-        .init();
+    if let Err(e) = logs() {
+        eprintln!("coralnotch: {e}");
+        return ExitCode::from(BAD_SETTINGS);
+    }
     let (config, policy, run) = match &args.command {
         Command::Serve { config, policy } => (config, policy, true),
         Command::Check { config, policy } => (config, policy, false),
@@ -135,6 +135,21 @@
     }
 }
 
+/// Logs go to standard error: as much as `LOG_LEVEL` asks for, lines for
+/// people or, with `LOG_FORMAT=json`, an object a line.
+fn logs() -> Result<(), String> {
+    // the platform's variable: a word that is not known must not keep a
+    // controller from starting
+    let level = std::env::var("LOG_LEVEL").ok().and_then(|l| l.parse().ok()).unwrap_or(LevelFilter::INFO);
+    let lines = tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr);
+    match std::env::var("LOG_FORMAT").as_deref() {
+        Err(_) | Ok("" | "text") => lines.with_ansi(std::io::stderr().is_terminal()).init(),
+        Ok("json") => lines.json().flatten_event(true).init(),
+        Ok(f) => return Err(format!("LOG_FORMAT={f:?} is neither text nor json")),
+    }
+    Ok(())
+}
+
 /// Prints a line.  A reader that has gone away, such as `head`, is no failure.
 pub(crate) fn say(line: &str) {
     let _ = writeln!(std::io::stdout(), "{line}");
@@ -217,7 +232,7 @@
     let node = Arc::new(Node::new(config, policy, Instant::now()));
     smol::block_on(ex.run(async {
         let listener = TcpListener::bind(bind).await?;
-        log::info!("{} listens on {bind}", node.config.name);
+        tracing::info!("{} listens on {bind}", node.config.name);
         let peers = TcpListener::bind(peer_bind).await?;
         ex.spawn(node.clone().serve_peers(peers)).detach();
         let (n, e) = (node.clone(), ex.clone());
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -223,7 +223,7 @@
         let Some(c) = i.cluster.as_mut() else { return Err(Response::refuse(503, "not ready")) };
         match c.report(report, true, now) {
             None => {
-                log::error!("{} has seen a token above ours", report.machine);
+                tracing::error!("{} has seen a token above ours", report.machine);
                 return Err(Response::refuse(503, "outdated"));
             }
             Some(false) => return Ok(false),
@@ -380,7 +380,7 @@
                         smol::Timer::after(Duration::from_millis(150)).await;
                     }
                     Err(e) => {
-                        log::debug!("submissions: {e}");
+                        tracing::debug!("submissions: {e}");
                         for (_, reply) in batch.drain(..) {
                             let _ = reply.try_send(Accepted::Unknown);
                         }
@@ -526,7 +526,7 @@
                         smol::Timer::after(Duration::from_millis(100)).await;
                     }
                     Err(e) => {
-                        log::debug!("query: {e}");
+                        tracing::debug!("query: {e}");
                         for (_, reply) in batch.drain(..) {
                             let _ = reply.try_send(None);
                         }
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -66,7 +66,7 @@
             other => other?,
         };
         if job.is_none() {
-            log::error!("{id} is on a page and has no record that can be read: its starts are passed over");
+            tracing::error!("{id} is on a page and has no record that can be read: its starts are passed over");
         }
         self.over.insert(id, job);
         Ok(())
@@ -80,7 +80,7 @@
             match self.read_all(a).await {
                 Ok(()) => break,
                 Err(e) => {
-                    log::info!("cannot read the store for term {}: {e}", a.term);
+                    tracing::info!("cannot read the store for term {}: {e}", a.term);
                     smol::Timer::after(self.policy.renew / 4).await;
                 }
             }
@@ -112,7 +112,7 @@
                     missing
                 }
             };
-            log::info!("term {}: reads {} jobs that are over and still on record", a.term, missing.len());
+            tracing::info!("term {}: reads {} jobs that are over and still on record", a.term, missing.len());
             let read = |id: Name| async move { (self.read_job(&id).await, id) };
             let mut reads = futures_util::stream::iter(missing.into_iter().map(read)).buffer_unordered(8);
             while let Some((job, id)) = reads.next().await {
@@ -171,7 +171,7 @@
         c.learned = self.peers.learned();
         let zones = self.config.siblings.iter().map(|s| s.zone.as_str());
         c.manned = zones.chain([self.config.zone.as_str()]).map(Name::from).collect();
-        log::info!("term {}: {} jobs, {} machines on record", a.term, c.jobs.len(), c.machines.len());
+        tracing::info!("term {}: {} jobs, {} machines on record", a.term, c.jobs.len(), c.machines.len());
         i.cluster = Some(c);
         Ok(())
     }
@@ -195,7 +195,7 @@
                 Ok(Outcome::Done(revision)) => {
                     let ended = self.lock().cluster.as_mut().map(|c| c.committed(batch, revision, now));
                     for id in ended.unwrap_or_default() {
-                        log::debug!("{id} is done");
+                        tracing::debug!("{id} is done");
                         self.learn_fate(&id, Fate::Done, now);
                     }
                     self.stored.notify(usize::MAX);
@@ -206,7 +206,7 @@
                     if keys.iter().any(|k| k == key::LEADER) {
                         return "the leader key has changed";
                     }
-                    log::info!("transaction in conflict over {keys:?}");
+                    tracing::info!("transaction in conflict over {keys:?}");
                     if let Some(c) = self.lock().cluster.as_mut() {
                         c.not_committed(batch);
                     }
@@ -217,13 +217,13 @@
                                     c.resolve(&k, item.as_ref(), now);
                                 }
                             }
-                            Err(e) => log::debug!("cannot read {k}: {e}"),
+                            Err(e) => tracing::debug!("cannot read {k}: {e}"),
                         }
                     }
                     smol::Timer::after(Duration::from_millis(20)).await;
                 }
                 Err(e) => {
-                    log::debug!("transaction: {e}");
+                    tracing::debug!("transaction: {e}");
                     if let Some(c) = self.lock().cluster.as_mut() {
                         c.not_committed(batch);
                     }
@@ -285,11 +285,11 @@
                         let report = match sent.await {
                             Ok((200 | 409, body)) => http::decode::<Report>(&body).ok(),
                             Ok((s, _)) => {
-                                log::info!("{} answers {s} to commands", d.machine);
+                                tracing::info!("{} answers {s} to commands", d.machine);
                                 None
                             }
                             Err(e) => {
-                                log::debug!("{} commands: {e}", d.machine);
+                                tracing::debug!("{} commands: {e}", d.machine);
                                 None
                             }
                         };
@@ -390,7 +390,7 @@
             }
             Ok(_) => false,
             Err(e) => {
-                log::debug!("machine types: {e}");
+                tracing::debug!("machine types: {e}");
                 false
             }
         }
@@ -424,7 +424,7 @@
                         c.list(&list, Instant::now());
                     }
                 }
-                Err(e) => log::debug!("list of machines: {e}"),
+                Err(e) => tracing::debug!("list of machines: {e}"),
             }
             smol::Timer::after(self.policy.list_every).await;
         }
@@ -499,7 +499,7 @@
                 true
             }
             other => {
-                log::debug!("rentals are not on record: {other:?}");
+                tracing::debug!("rentals are not on record: {other:?}");
                 false
             }
         }
@@ -547,8 +547,8 @@
                 self.to_place.wake();
                 self.to_commit.wake();
             }
-            Ok((s, _)) => log::debug!("deletion: status {s}"),
-            Err(e) => log::debug!("deletion: {e}"),
+            Ok((s, _)) => tracing::debug!("deletion: status {s}"),
+            Err(e) => tracing::debug!("deletion: {e}"),
         }
     }
 
@@ -564,21 +564,21 @@
         match answer {
             Ok((200, body)) => match http::decode::<Machines>(&body) {
                 Ok(m) => c.rented(r, &m.machines, now),
-                Err(e) => log::error!("rental {}: {e}", r.charter),
+                Err(e) => tracing::error!("rental {}: {e}", r.charter),
             },
             Ok((503, body)) if String::from_utf8_lossy(&body).contains("capacity") => {
-                log::info!("no capacity: {} in {}, spot {}", r.kind, r.zone, r.spot);
+                tracing::info!("no capacity: {} in {}, spot {}", r.kind, r.zone, r.spot);
                 c.fleet.answered(&r.charter, now);
                 c.no_capacity(&(r.kind.clone(), r.zone.clone(), r.spot), now);
             }
             Ok((400, _)) => {
-                log::error!("rental {} is malformed to the cloud", r.charter);
+                tracing::error!("rental {} is malformed to the cloud", r.charter);
                 c.fleet.answered(&r.charter, now);
                 c.no_capacity(&(r.kind.clone(), r.zone.clone(), r.spot), now);
             }
             // in doubt: asked again under the same charter
-            Ok((s, _)) => log::debug!("rental {}: status {s}", r.charter),
-            Err(e) => log::debug!("rental {}: {e}", r.charter),
+            Ok((s, _)) => tracing::debug!("rental {}: status {s}", r.charter),
+            Err(e) => tracing::debug!("rental {}: {e}", r.charter),
         }
     }
 
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -118,7 +118,7 @@
                     Ok(Some(a)) => {
                         self.lock().authority = Some(a);
                         let why = futures_lite::future::or(self.keep(a), self.lead(a)).await;
-                        log::info!("term {} ends here: {why}", a.term);
+                        tracing::info!("term {} ends here: {why}", a.term);
                         {
                             let mut i = self.lock();
                             i.authority = None;
@@ -135,7 +135,7 @@
                         }
                     }
                     Ok(None) => {}
-                    Err(e) => log::debug!("cannot stand: {e}"),
+                    Err(e) => tracing::debug!("cannot stand: {e}"),
                 }
                 smol::Timer::after(self.policy.renew / 4).await;
             } else {
@@ -177,7 +177,7 @@
         };
         match self.store.txn(&txn).await? {
             Outcome::Done(stamp) => {
-                log::info!("leads from now on, term {}", record.term);
+                tracing::info!("leads from now on, term {}", record.term);
                 self.lock().leader = Some(crate::node::LeaderSeen { record: record.clone(), stamp });
                 let until = lasts_until(sent, ttl, self.policy.drift);
                 Ok(Some(Authority { term: record.term, stamp, hold, until, since: sent }))
@@ -204,7 +204,7 @@
                 Err(Error::NoLease) => return "its lease is gone",
                 // in an outage the lease outlives it: go on asking
                 Err(e) => {
-                    log::debug!("renewal: {e}");
+                    tracing::debug!("renewal: {e}");
                     self.policy.renew / 4
                 }
             };
--- a/src/node.rs
+++ b/src/node.rs
@@ -215,7 +215,7 @@
     /// merely was not listened to.
     pub fn beat(&self, i: &mut Inner, now: Instant) {
         let Some(gap) = Pulse::beat(&mut i.pulse, self.policy.stood_still, now) else { return };
-        log::info!("stood still for {:.1} s: silences are measured anew", gap.as_secs_f64());
+        tracing::info!("stood still for {:.1} s: silences are measured anew", gap.as_secs_f64());
         self.store.woke(now);
         self.peers.woke();
         if let Some(c) = i.cluster.as_mut() {
@@ -292,7 +292,7 @@
                     }
                 } else if path == key::LEADER {
                     if let Some(record) = read_value::<LeaderRecord>(&path, data) {
-                        log::info!("{} leads, term {}", record.name, record.term);
+                        tracing::info!("{} leads, term {}", record.name, record.term);
                         self.lock().leader = Some(LeaderSeen { record, stamp: e.stamp });
                         self.to_lead.wake();
                     }
@@ -306,7 +306,7 @@
                 }
             }
             (_, Some(path), _) if path == key::LEADER => {
-                log::info!("nobody leads");
+                tracing::info!("nobody leads");
                 self.lock().leader = None;
                 self.to_lead.wake();
             }
@@ -318,7 +318,7 @@
         let mut inner = self.lock();
         inner.epoch = inner.epoch.max(epoch);
         if !inner.synced {
-            log::info!("caught up with the store at {epoch}, {} unfinished jobs", inner.ledger.len());
+            tracing::info!("caught up with the store at {epoch}, {} unfinished jobs", inner.ledger.len());
         }
         inner.synced = true;
         self.to_lead.wake();
@@ -331,7 +331,7 @@
             match self.store.any(key::OUTDATED).await {
                 Ok(found) => return found,
                 Err(e) => {
-                    log::debug!("cannot read the store yet: {e}");
+                    tracing::debug!("cannot read the store yet: {e}");
                     smol::Timer::after(self.policy.renew / 2).await;
                 }
             }
@@ -370,7 +370,7 @@
                 // only this page is read again: a long read has to come to its
                 // end though the service fails now and then
                 Err(e) => {
-                    log::debug!("a page of {}: {e}", need.under);
+                    tracing::debug!("a page of {}: {e}", need.under);
                     smol::Timer::after(self.policy.renew / 2).await;
                 }
             }
@@ -386,7 +386,7 @@
                         since = self.changed(news, epoch.max(since));
                     }
                     Err(Error::Gone) => return Err(Error::Gone),
-                    Err(e) => log::debug!("watch: {e}"),
+                    Err(e) => tracing::debug!("watch: {e}"),
                 }
             }
         }
@@ -429,7 +429,7 @@
             let mut since = match self.catch_up().await {
                 Ok(epoch) => epoch,
                 Err(e) => {
-                    log::debug!("cannot read the store yet: {e}");
+                    tracing::debug!("cannot read the store yet: {e}");
                     smol::Timer::after(self.policy.renew / 2).await;
                     continue;
                 }
@@ -444,7 +444,7 @@
                     }
                     Err(Error::Gone) => break,
                     Err(e) => {
-                        log::debug!("watch: {e}");
+                        tracing::debug!("watch: {e}");
                         smol::Timer::after(self.policy.renew / 2).await;
                     }
                 }
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -48,7 +48,7 @@
             work.await;
         });
         if self.0.try_send(work).is_err() {
-            log::error!("no room for another task between controllers");
+            tracing::error!("no room for another task between controllers");
         }
     }
 }
@@ -315,7 +315,7 @@
             let stream = match listener.accept().await {
                 Ok((s, _)) => s,
                 Err(e) => {
-                    log::error!("accept from controllers: {e}");
+                    tracing::error!("accept from controllers: {e}");
                     smol::Timer::after(Duration::from_millis(100)).await;
                     continue;
                 }
--- a/src/store.rs
+++ b/src/store.rs
@@ -219,7 +219,7 @@
             409 => Ok(Outcome::Conflict(http::decode::<Failed>(&body)?.failed)),
             400 if String::from_utf8_lossy(&body).contains("no such lease") => Err(Error::NoLease),
             s => {
-                log::error!("state service answers {s} to a transaction of {} writes", txn.writes.len());
+                tracing::error!("state service answers {s} to a transaction of {} writes", txn.writes.len());
                 Err(Error::Refused(s))
             }
         }
