Emulator: load with faults, a checker of histories, reports and comparison

The library's figures had nothing to be measured by.

load starts a cluster, lets jobs arrive by a seed's rate or a trace whether or not the last ones were answered, counts times from when a job should have been sent, checks the answers against what ran, and writes JSON and a page with plots; compare sets reports side by side.

--- a/packages/client/src/client.rs
+++ b/packages/client/src/client.rs
@@ -1,7 +1,7 @@
 //! The client: carries out what the jobs' state machines say, with a bound on
 //! everything it holds.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -31,6 +31,8 @@
     pub journal: Option<PathBuf>,
     /// Requests under way at once, at most.
     pub in_flight: usize,
+    /// Idle connections kept for the next request.
+    pub idle: usize,
     /// Unfinished jobs at once; a submission beyond waits for one to end.
     pub open: usize,
     /// Changes kept for a reader that is behind; older ones are dropped, and
@@ -57,6 +59,7 @@
             endpoints,
             journal: None,
             in_flight: 32,
+            idle: 32,
             open: 10_000,
             changes: 1024,
             limit: Duration::from_secs(5),
@@ -66,7 +69,7 @@
                 poll_most: Duration::from_secs(30),
             },
             retry_ratio: 0.2,
-            retry_trickle: 2.0,
+            retry_trickle: 0.2,
             retry_budget: true,
             rest: Duration::from_secs(3),
         }
@@ -140,6 +143,7 @@
 
 struct Tracked {
     job: Job,
+    /// A request is under way, or waits for the budget.
     flying: bool,
 }
 
@@ -147,6 +151,9 @@
     jobs: HashMap<Name, Tracked>,
     /// Jobs that are not over, by when there is something to do.
     due: BTreeSet<(Instant, Name)>,
+    /// Jobs whose retries are due and wait for the budget, in their order; no
+    /// more than there are unfinished jobs.
+    held: VecDeque<Name>,
     endpoints: Endpoints,
     budget: Budget,
     rng: fastrand::Rng,
@@ -191,6 +198,8 @@
     id: Name,
     action: Action,
     to: Option<SocketAddr>,
+    /// It repeats one that did not go through.
+    again: bool,
 }
 
 /// Why the driver goes on.
@@ -206,6 +215,9 @@
     outcome: Result<Outcome, bool>,
 }
 
+/// Least time until the next look.
+const SHORTEST: Duration = Duration::from_millis(1);
+
 fn add(c: &AtomicU64) {
     c.fetch_add(1, Ordering::Relaxed);
 }
@@ -222,47 +234,61 @@
         let i = &mut *guard;
         let mut errands = Vec::new();
         let mut room = self.settings.in_flight.saturating_sub(flying);
-        while room > 0 {
-            let Some((t, id)) = i.due.first().cloned().filter(|d| d.0 <= now) else { break };
-            let Some(tracked) = i.jobs.get_mut(&id) else {
-                i.due.remove(&(t, id));
-                continue;
+        let mut look = None;
+        // who waited for the budget goes before who comes now
+        while room > 0 && !i.held.is_empty() {
+            let to = match i.endpoints.choose(now).and_then(|to| i.budget.retry(now).map(|()| to)) {
+                Ok(to) => to,
+                Err(wait) => {
+                    look = Some(now + wait.max(SHORTEST));
+                    break;
+                }
             };
-            let action = tracked.job.action();
+            let Some(id) = i.held.pop_front() else { break };
+            let Some(t) = i.jobs.get_mut(&id).filter(|t| t.job.due().is_some()) else { continue };
+            add(&self.counts.retries);
+            errands.push(Errand { action: t.job.action(), id, to: Some(to), again: true });
+            room -= 1;
+        }
+        while room > 0 {
+            let Some((at, id)) = i.due.first().cloned().filter(|d| d.0 <= now) else { break };
+            i.due.remove(&(at, id.clone()));
+            let Some(tracked) = i.jobs.get_mut(&id) else { continue };
+            let (action, again) = (tracked.job.action(), tracked.job.again());
             let mut to = None;
             if action != Action::Record {
-                // whoever has to wait lets the next one try: a first try needs
-                // no budget
-                let mut wait = Duration::ZERO;
                 match i.endpoints.choose(now) {
-                    Err(rest) => wait = rest.max(Duration::from_millis(1)),
-                    Ok(addr) if tracked.job.again() && self.settings.retry_budget => match i.budget.retry(now) {
-                        Ok(()) => to = Some(addr),
-                        Err(w) => {
-                            add(&self.counts.held_back);
-                            // not all at the moment when there is one retry
-                            wait = w.mul_f64(1.0 + 2.0 * i.rng.f64()).max(Duration::from_millis(1));
-                        }
-                    },
+                    Err(rest) => {
+                        tracked.job.put_off(now + rest.max(SHORTEST));
+                        i.schedule(&id, None);
+                        continue;
+                    }
                     Ok(addr) => to = Some(addr),
                 }
-                if to.is_none() {
-                    tracked.job.put_off(now + wait);
-                    i.schedule(&id, Some(t));
-                    continue;
-                }
-                if tracked.job.again() {
-                    add(&self.counts.retries);
-                } else {
-                    i.budget.first(now);
+                match again {
+                    false => i.budget.first(now),
+                    // in its turn: others may be held already
+                    true if self.settings.retry_budget => {
+                        let wait = if i.held.is_empty() { i.budget.retry(now) } else { Err(SHORTEST) };
+                        if let Err(wait) = wait {
+                            add(&self.counts.held_back);
+                            tracked.flying = true;
+                            i.held.push_back(id);
+                            let at = now + wait.max(SHORTEST);
+                            look = Some(look.map_or(at, |l: Instant| l.min(at)));
+                            continue;
+                        }
+                        add(&self.counts.retries);
+                    }
+                    true => add(&self.counts.retries),
                 }
             }
             tracked.flying = true;
-            i.due.remove(&(t, id.clone()));
-            errands.push(Errand { id, action, to });
+            errands.push(Errand { id, action, to, again });
             room -= 1;
         }
-        (errands, i.due.first().map(|d| d.0))
+        let next = i.due.first().map(|d| d.0);
+        (errands, [next, look].into_iter().flatten().min())
     }
 
     async fn run(&self, errand: Errand) -> Done {
@@ -312,7 +338,12 @@
         let id = &d.errand.id;
         if let (Some(to), Ok(o)) = (d.errand.to, &d.outcome) {
             match o {
-                Outcome::State(_) | Outcome::Refused { .. } | Outcome::Unknown => i.endpoints.worked(to),
+                Outcome::State(_) | Outcome::Refused { .. } | Outcome::Unknown => {
+                    i.endpoints.worked(to);
+                    if d.errand.again {
+                        i.budget.worked(now);
+                    }
+                }
                 Outcome::Later(_) => {
                     add(&self.counts.refused_for_now);
                     i.endpoints.failed(to, now);
@@ -447,6 +478,7 @@
         let mut inner = Inner {
             jobs: HashMap::new(),
             due: BTreeSet::new(),
+            held: VecDeque::new(),
             endpoints: Endpoints::new(&settings.endpoints, first, settings.rest),
             budget: Budget::new(
                 settings.retry_ratio,
@@ -466,7 +498,7 @@
             inner.schedule(&id, None);
         }
         let shared = Arc::new(Shared {
-            http: http::Client::new(settings.in_flight),
+            http: http::Client::new(settings.idle),
             settings,
             journal,
             inner: Mutex::new(inner),
--- a/packages/emulator/src/balancer.rs
+++ b/packages/emulator/src/balancer.rs
@@ -126,6 +126,8 @@
 pub struct Tap {
     buf: Vec<u8>,
     lost: bool,
+    /// Whole requests so far.
+    pub requests: u64,
 }
 
 impl Tap {
@@ -143,6 +145,7 @@
                     if self.buf.len() < end {
                         break;
                     }
+                    self.requests += 1;
                     if head.method == "POST" && head.target == "/v2/runs" {
                         found.extend(http::decode::<Spec>(&self.buf[head.len..end]).ok());
                     }
--- a/packages/emulator/src/faults.rs
+++ b/packages/emulator/src/faults.rs
@@ -20,6 +20,11 @@
         /// Its number.
         node: usize,
     },
+    /// All controllers are down for a while.
+    Down {
+        /// How long.
+        lasts: Duration,
+    },
     /// The state service refuses everything for a while.
     StateOutage {
         /// How long.
@@ -57,15 +62,20 @@
     faults: Vec<toml::Table>,
 }
 
+/// Reads a plan of faults from a file's text, see [`plan`].
+pub fn parse(text: &str, nodes: usize) -> Result<Vec<Planned>, String> {
+    let file: File = toml::from_str(text).map_err(|e| e.to_string().trim().to_owned())?;
+    plan(file.faults, nodes)
+}
+
 /// The latest that a fault may come, and the longest that it may last.
 const LATEST_S: f64 = 24.0 * 3600.0;
 
 /// Reads a plan of faults for so many controllers; the error is all that is
 /// wrong with it, a line each.
-pub fn parse(text: &str, nodes: usize) -> Result<Vec<Planned>, String> {
-    let file: File = toml::from_str(text).map_err(|e| e.to_string().trim().to_owned())?;
+pub fn plan(faults: Vec<toml::Table>, nodes: usize) -> Result<Vec<Planned>, String> {
     let (mut plan, mut wrong) = (Vec::new(), Vec::new());
-    for (i, mut t) in file.faults.into_iter().enumerate() {
+    for (i, mut t) in faults.into_iter().enumerate() {
         let mut bad = |why: String| wrong.push(format!("fault {}: {why}", i + 1));
         let before = plan.len();
         let mut seconds = |key: &str| match t.remove(key) {
@@ -82,7 +92,7 @@
         };
         let at = seconds("at_s");
         let kind = t.get("kind").and_then(|k| k.as_str()).unwrap_or_default().to_owned();
-        let lasts = if kind.ends_with("-outage") {
+        let lasts = if kind.ends_with("-outage") || kind == "down" {
             match t.remove("for_s") {
                 Some(v) => v.as_float().or(v.as_integer().map(|n| n as f64)).filter(|s| (0.0..=LATEST_S).contains(s)),
                 None => None,
@@ -105,6 +115,7 @@
         let length = Duration::from_secs_f64(lasts.unwrap_or(0.0));
         let fault = match kind.as_str() {
             "crash" => Some(Fault::Crash { node: whole("node", 0, nodes as i64) }),
+            "down" => Some(Fault::Down { lasts: length }),
             "state-outage" => Some(Fault::StateOutage { lasts: length }),
             "cloud-outage" => Some(Fault::CloudOutage { lasts: length }),
             "kill-machines" => Some(Fault::KillMachines { count: whole("count", 1, 10_000) }),
@@ -114,7 +125,7 @@
         match fault {
             Some(fault) => plan.push(Planned { at, fault }),
             None => wrong.push(format!(
-                "fault {}: kind {kind:?} is none of crash, state-outage, cloud-outage, kill-machines, spot-wave",
+                "fault {}: kind {kind:?} is none of crash, down, state-outage, cloud-outage, kill-machines, spot-wave",
                 i + 1
             )),
         }
--- a/packages/emulator/src/lib.rs
+++ b/packages/emulator/src/lib.rs
@@ -7,6 +7,9 @@
 pub mod balancer;
 pub mod cloud;
 pub mod faults;
+pub mod history;
+pub mod load;
+pub mod page;
 pub mod serve;
 pub mod state;
 pub mod up;
--- a/packages/emulator/src/main.rs
+++ b/packages/emulator/src/main.rs
@@ -1,8 +1,12 @@
 //! The emulator's command line.
 
+use std::fs;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
+use coralnotch_emulator::load::{self, Scenario};
+use coralnotch_emulator::page;
 use coralnotch_emulator::up::{up, Error, Options};
 
 #[derive(Parser)]
@@ -16,6 +20,26 @@
 enum Command {
     /// Run a cluster: stand-ins and three controllers, until Ctrl-C.
     Up(Options),
+    /// Play a scenario of load and faults on a cluster of its own.
+    Load {
+        /// The scenario.
+        scenario: PathBuf,
+        /// Where the report goes, as JSON; a page with plots goes beside it.
+        #[arg(long, default_value = "load.json")]
+        report: PathBuf,
+        /// The controller program; beside this program if not given.
+        #[arg(long)]
+        controller: Option<PathBuf>,
+    },
+    /// Set reports side by side.
+    Compare {
+        /// Reports.
+        #[arg(required = true, num_args = 2..)]
+        reports: Vec<PathBuf>,
+        /// A page with plots of them all.
+        #[arg(long)]
+        page: Option<PathBuf>,
+    },
 }
 
 /// Exit code for what can't be used.
@@ -31,9 +55,13 @@
         eprintln!("coralnotch-emulator: signals: {e}");
         return ExitCode::FAILURE;
     }
-    let Command::Up(options) = &args.command;
-    match up(options, stopped, |_| ()) {
-        Ok(_) => ExitCode::SUCCESS,
+    let done = match &args.command {
+        Command::Up(options) => up(options, stopped, |_| ()).map(drop),
+        Command::Load { scenario, report, controller } => load(scenario, report, controller.clone()),
+        Command::Compare { reports, page } => compare(reports, page.as_deref()),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("coralnotch-emulator: {e}");
             match e {
@@ -43,3 +71,42 @@
         }
     }
 }
+
+fn write(file: &Path, text: &str) -> Result<(), Error> {
+    fs::write(file, text).map_err(|error| Error::Io { what: file.display().to_string(), error })
+}
+
+fn load(scenario: &Path, report: &Path, controller: Option<PathBuf>) -> Result<(), Error> {
+    let text = fs::read_to_string(scenario).map_err(|e| Error::Input(format!("{}: {e}", scenario.display())))?;
+    let s = Scenario::parse(&text).map_err(|e| Error::Input(format!("{}:\n{e}", scenario.display())))?;
+    let r = load::run(&s, controller)?;
+    let name = scenario.file_stem().map(|n| n.to_string_lossy().into_owned()).unwrap_or_default();
+    let all = [(name.as_str(), &r)];
+    println!("{}", load::table(&all));
+    write(report, &serde_json::to_string_pretty(&r).unwrap_or_default())?;
+    write(&report.with_extension("html"), &page::page(&all)?)?;
+    match r.wrong.is_empty() {
+        true => Ok(()),
+        false => Err(Error::Failed(format!("{} things are wrong:\n{}", r.wrong.len(), some(&r.wrong)))),
+    }
+}
+
+fn some(wrong: &[String]) -> String {
+    let mut text = wrong.iter().take(10).cloned().collect::<Vec<_>>().join("\n");
+    if wrong.len() > 10 {
+        text += "\n…";
+    }
+    text
+}
+
+fn compare(files: &[PathBuf], to: Option<&Path>) -> Result<(), Error> {
+    let reports = files.iter().map(|f| load::read(f)).collect::<Result<Vec<_>, _>>()?;
+    let names: Vec<String> =
+        files.iter().map(|f| f.file_stem().map(|n| n.to_string_lossy().into_owned()).unwrap_or_default()).collect();
+    let all: Vec<(&str, &load::Report)> = names.iter().map(String::as_str).zip(&reports).collect();
+    println!("{}", load::table(&all));
+    match to {
+        Some(file) => write(file, &page::page(&all)?),
+        None => Ok(()),
+    }
+}
--- a/packages/emulator/src/serve.rs
+++ b/packages/emulator/src/serve.rs
@@ -61,6 +61,8 @@
     pub balancer: RefCell<Balancer>,
     /// Chance.
     pub rng: RefCell<Rng>,
+    /// Users' requests by second, from when this was set.
+    pub per_second: RefCell<Option<(Instant, Vec<u64>)>>,
     controllers: Vec<Controller>,
     report_s: f64,
     workers: RefCell<HashMap<Name, Task<()>>>,
@@ -100,6 +102,7 @@
             yard: RefCell::new(yard),
             balancer: RefCell::new(Balancer::new(&addrs)),
             rng: RefCell::new(rng),
+            per_second: RefCell::default(),
             controllers,
             report_s,
             workers: RefCell::default(),
@@ -288,6 +291,14 @@
         }
     }
 
+    fn count(&self, requests: u64) {
+        if let Some((since, seconds)) = self.per_second.borrow_mut().as_mut() {
+            let at = since.elapsed().as_secs() as usize;
+            seconds.resize(seconds.len().max(at + 1), 0);
+            seconds[at] += requests;
+        }
+    }
+
     async fn pass_on(self: Rc<Self>, user: TcpStream) {
         let mut tried = Vec::new();
         while tried.len() < TRIES {
@@ -305,11 +316,13 @@
             };
             let (mut up, mut down) = (user.clone(), node.clone());
             let ahead = async {
-                let (mut buf, mut tap) = ([0u8; 8192], Tap::default());
+                let (mut buf, mut tap) = (vec![0u8; 4096], Tap::default());
                 while let Ok(n @ 1..) = up.read(&mut buf).await {
+                    let before = tap.requests;
                     for spec in tap.take(&buf[..n]) {
                         self.yard.borrow_mut().upload(spec);
                     }
+                    self.count(tap.requests - before);
                     if down.write_all(&buf[..n]).await.is_err() {
                         break;
                     }
--- a/packages/emulator/src/up.rs
+++ b/packages/emulator/src/up.rs
@@ -33,8 +33,7 @@
 const GANG_WAIT_S: f64 = 15.0;
 const GANG_PEER_S: f64 = 2.0;
 const CANCEL_S: f64 = 20.0;
-/// What the state service and the cloud allow.
-const STATE: Limits = Limits { rps: 300.0, write_rps: 100.0, value_kb: 16.0, txn_ops: 24 };
+/// What the cloud allows.
 const CLOUD_RPS: f64 = 10.0;
 const LIST_LAG_S: f64 = 2.0;
 /// A controller that ended is started again after this.
@@ -67,11 +66,44 @@
     /// Faults at given times, see docs/emulator.md.
     #[arg(long)]
     pub faults: Option<PathBuf>,
+    /// How much the services allow.
+    #[arg(skip)]
+    pub size: Size,
+    /// Faults beside those of the file.
+    #[arg(skip)]
+    pub plan: Vec<Planned>,
     /// With --demo: end when the job is done.
     #[arg(long, requires = "demo")]
     pub exit: bool,
 }
 
+/// The size of the cluster's services.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Size {
+    /// Requests a second that the state service allows.
+    pub state_rps: f64,
+    /// Puts and deletes a second.
+    pub write_rps: f64,
+    /// Sockets of each controller.
+    pub sockets: usize,
+    /// Share of a core for each controller, as its settings say; nothing here
+    /// enforces it.
+    pub cores: f64,
+}
+
+impl Default for Size {
+    fn default() -> Size {
+        Size { state_rps: 300.0, write_rps: 100.0, sockets: 1000, cores: 0.5 }
+    }
+}
+
+impl Size {
+    fn limits(&self) -> Limits {
+        Limits { rps: self.state_rps, write_rps: self.write_rps, value_kb: 16.0, txn_ops: 24 }
+    }
+}
+
 /// Why there is no cluster.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -106,6 +138,8 @@
     pub cost: f64,
     /// Rules that were seen broken.
     pub broken: Vec<String>,
+    /// Users' requests by second, from when the cluster was ready.
+    pub per_second: Vec<u64>,
     /// Keys that the state service held at the end.
     pub keys: Vec<String>,
     /// When each job's last task completed.
@@ -118,6 +152,8 @@
     dir: PathBuf,
     running: Vec<Option<Child>>,
     ended: Vec<Option<Instant>>,
+    /// Nothing is started before.
+    down_until: Option<Instant>,
 }
 
 impl Processes {
@@ -151,7 +187,8 @@
                 say(&format!("node-{i} ended ({status}); see {}", self.dir.join(format!("node-{i}.log")).display()));
                 (self.running[i], self.ended[i]) = (None, Some(now));
             }
-            if self.ended[i].is_some_and(|t| now.saturating_duration_since(t) > RESTART) {
+            let down = self.down_until.is_some_and(|t| now < t);
+            if !down && self.ended[i].is_some_and(|t| now.saturating_duration_since(t) > RESTART) {
                 self.ended[i] = None;
                 self.start(i)?;
             }
@@ -192,14 +229,15 @@
 }
 
 /// The settings file of controller `i`.
-fn settings(i: usize, binds: &[(SocketAddr, SocketAddr)], state: SocketAddr, cloud: SocketAddr) -> String {
+fn settings(i: usize, binds: &[(SocketAddr, SocketAddr)], state: SocketAddr, cloud: SocketAddr, size: &Size) -> String {
     let siblings: String = (0..binds.len())
         .filter(|j| *j != i)
         .map(|j| {
             format!("[[siblings]]\nhost_name = \"node-{j}\"\ndomain = \"{}\"\naddr = \"{}\"\n\n", ZONES[j], binds[j].1)
         })
         .collect();
-    let Limits { rps, write_rps, value_kb, txn_ops } = STATE;
+    let Limits { rps, write_rps, value_kb, txn_ops } = size.limits();
+    let Size { sockets, cores, .. } = size;
     format!(
         "host_name = \"node-{i}\"\ndomain = \"{}\"\nbind = \"{}\"\npeer_bind = \"{}\"\n\n{siblings}\
          [services]\ncloud = \"{cloud}\"\nstate = \"{state}\"\n\n\
@@ -208,7 +246,7 @@
          gang_peer_s = {GANG_PEER_S:?}\ncancel_s = {CANCEL_S:?}\n\n\
          [deployment.state]\nrps = {rps:?}\nwrite_rps = {write_rps:?}\nvalue_kb = {value_kb:?}\ntxn_ops = {txn_ops}\n\n\
          [deployment.cloud]\nrps = {CLOUD_RPS:?}\nlist_lag_s = {LIST_LAG_S:?}\n\n\
-         [deployment.quota]\ncores = 0.5\nram_mb = 136.0\nfd_limit = 1000\n",
+         [deployment.quota]\ncores = {cores:?}\nram_mb = 136.0\nfd_limit = {sockets}\n",
         ZONES[i],
         binds[i].0,
         binds[i].1,
@@ -302,9 +340,12 @@
 }
 
 fn plan(options: &Options) -> Result<Vec<Planned>, Error> {
-    let Some(file) = &options.faults else { return Ok(Vec::new()) };
+    let mut plan = options.plan.clone();
+    let Some(file) = &options.faults else { return Ok(plan) };
     let text = fs::read_to_string(file).map_err(|e| Error::Input(format!("{}: {e}", file.display())))?;
-    faults::parse(&text, ZONES.len()).map_err(|e| Error::Input(format!("{}:\n{e}", file.display())))
+    plan.extend(faults::parse(&text, ZONES.len()).map_err(|e| Error::Input(format!("{}:\n{e}", file.display())))?);
+    plan.sort_by_key(|p| p.at);
+    Ok(plan)
 }
 
 /// Carries out one fault; what ends it comes later.
@@ -312,6 +353,10 @@
     let (now, w) = (Instant::now(), world.clone());
     match fault {
         Fault::Crash { node } => nodes.crash(node),
+        Fault::Down { lasts } => {
+            nodes.down_until = Some(now + lasts);
+            (0..nodes.running.len()).for_each(|i| nodes.crash(i));
+        }
         Fault::StateOutage { lasts } => {
             world.state.borrow_mut().fail(now);
             let over = async move {
@@ -369,7 +414,10 @@
         }
         for i in 0..binds.len() {
             let file = dir.join(format!("node-{i}.toml"));
-            tried(file.display().to_string(), fs::write(&file, settings(i, &binds, state_at, cloud_at)))?;
+            tried(
+                file.display().to_string(),
+                fs::write(&file, settings(i, &binds, state_at, cloud_at, &options.size)),
+            )?;
         }
         let mut rng = Rng::with_seed(options.seed);
         let cloud = Cloud::new(cloud::Settings {
@@ -384,14 +432,19 @@
         let yard = Yard::new(how, 1.0, rng.fork());
         let controllers: Vec<Controller> =
             binds.iter().enumerate().map(|(i, b)| Controller { name: format!("node-{i}"), addr: b.0 }).collect();
-        let world = World::new(State::new(STATE), cloud, yard, controllers, REPORT_S, rng);
+        let world = World::new(State::new(options.size.limits()), cloud, yard, controllers, REPORT_S, rng);
         ex.spawn(world.clone().serve_state(ex.clone(), state_on)).detach();
         ex.spawn(world.clone().serve_cloud(ex.clone(), cloud_on)).detach();
         ex.spawn(world.clone().time(ex.clone())).detach();
         ex.spawn(world.clone().balance(ex.clone(), users_on)).detach();
         let none = || binds.iter().map(|_| None).collect();
-        let mut nodes =
-            Processes { program, dir: dir.clone(), running: none(), ended: binds.iter().map(|_| None).collect() };
+        let mut nodes = Processes {
+            program,
+            dir: dir.clone(),
+            running: none(),
+            ended: binds.iter().map(|_| None).collect(),
+            down_until: None,
+        };
         for i in 0..binds.len() {
             nodes.start(i)?;
             ex.spawn(world.clone().probe(i)).detach();
@@ -406,6 +459,7 @@
                 smol::Timer::after(Duration::from_millis(50)).await;
             }
             say(&format!("ready: submit to {users_at}; settings and logs in {}; Ctrl-C ends it", dir.display()));
+            *world.per_second.borrow_mut() = Some((Instant::now(), Vec::new()));
             ready(users_at);
             let since = Instant::now();
             let shown = async {
@@ -443,6 +497,7 @@
             killed: yard.killed,
             cost: world.cloud.borrow().cost(Instant::now()),
             broken: yard.broken.clone(),
+            per_second: world.per_second.borrow().as_ref().map(|p| p.1.clone()).unwrap_or_default(),
             keys: world.state.borrow().under(""),
             completed: yard.completed().clone(),
         };
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 
-use coralnotch_emulator::up::{up, Error, Options};
+use coralnotch_emulator::up::{up, Error, Options, Size};
 
 fn options(dir: &str) -> Options {
     Options {
@@ -13,6 +13,8 @@
         capacity: 4,
         demo: true,
         faults: None,
+        size: Size::default(),
+        plan: Vec::new(),
         exit: true,
     }
 }
