The daemon's circle is cut: node is the ground, run drives the slices

intake, leader, leadership, node, peers and telemetry imported one another: node was both the state that all stand on and the loops that drive all.

The right to act, the queues of requests and the calls to siblings went below node; the watch and the status came out of it and of telemetry; run starts everything.

--- /dev/null
+++ b/src/authority.rs
@@ -0,0 +1,132 @@
+//! The right to act, and when a leader gives it up: plain functions of state
+//! and `now`.
+
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use crate::policy::Policy;
+
+/// The value of the leader key.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LeaderRecord {
+    /// Controller.
+    pub name: String,
+    /// Term.
+    pub term: u64,
+}
+
+/// The right to act.
+#[derive(Debug, Clone, Copy)]
+pub struct Authority {
+    /// Term.
+    pub term: u64,
+    /// Stamp of the leader key.
+    pub stamp: u64,
+    /// Lease.
+    pub hold: u64,
+    /// Until when it lasts.
+    pub until: Instant,
+    /// Until when not to hand over for deafness again.
+    pub since: Instant,
+}
+
+/// Until when a lease that was asked for at `sent` can be relied on.
+pub fn lasts_until(sent: Instant, ttl: Duration, drift: f64) -> Instant {
+    // our clock may run slow against the service's by the drift of both
+    sent + ttl.mul_f64(1.0 - 2.0 * drift)
+}
+
+/// What a leader that hears no worker has learned of why.
+#[derive(Debug, Default)]
+pub struct Ears {
+    /// When a sibling first heard a worker after the last one came here.
+    told: Option<Instant>,
+}
+
+impl Ears {
+    /// Whether to hand over.  `last`: a worker was last heard here; `elsewhere`:
+    /// at a sibling; `answered`: siblings answer at all.  A sibling sends a
+    /// worker here, and it comes within half a second: one that has not come
+    /// cannot.  Where nobody can be asked, only a long silence tells.
+    pub fn deaf(
+        &mut self,
+        last: Instant,
+        elsewhere: Option<Instant>,
+        answered: bool,
+        p: &Policy,
+        now: Instant,
+    ) -> bool {
+        let silence = now.saturating_duration_since(last);
+        if silence < p.deaf {
+            return false;
+        }
+        if !answered {
+            return silence > p.deaf_alone;
+        }
+        // what was told of an earlier silence says nothing of this one
+        self.told = self.told.filter(|t| *t > last).or(elsewhere.filter(|t| *t > last));
+        self.told.is_some_and(|t| now.saturating_duration_since(t) > p.deaf / 2)
+    }
+}
+
+/// Why a leader that no worker reaches hands over.
+pub const DEAF: &str = "hears no worker";
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::config::Config;
+    use coralnotch_policy::example::SETTINGS;
+    use proptest::prelude::*;
+
+    fn policy() -> Policy {
+        Policy::new(&Config::parse("test", SETTINGS).expect("settings of the tests")).expect("the default policy")
+    }
+
+    /// Seen on an operators' day: the leader lost the workers alone, and their
+    /// leases ran out before it noticed.
+    #[test]
+    fn a_deaf_leader_hands_over_to_one_that_hears() {
+        let (p, t0) = (policy(), Instant::now());
+        let at = |s: f64| t0 + Duration::from_secs_f64(s);
+        let report = p.deaf.as_secs_f64() * 2.0;
+        // workers turn to a sibling, and do not come on to here
+        let mut e = Ears::default();
+        let when = (0..200).map(|n| f64::from(n) * 0.1).find(|s| e.deaf(t0, Some(at(*s)), true, &p, at(*s)));
+        assert!(when.is_some_and(|s| s < report * 1.1), "{when:?}");
+        // a world without workers is no reason, however long
+        let mut e = Ears::default();
+        assert!(!(0..999).any(|s| e.deaf(t0, None, true, &p, at(f64::from(s)))));
+        // nobody to ask: a long silence
+        let mut e = Ears::default();
+        assert!(!e.deaf(t0, None, false, &p, at(report * 1.5)));
+        assert!(e.deaf(t0, None, false, &p, at(report * 2.1)));
+    }
+
+    proptest! {
+        /// A leader that is heard, by however few workers that siblings send
+        /// on, never takes itself for deaf.
+        #[test]
+        fn redirected_workers_are_no_deafness(gaps in prop::collection::vec(0.1f64..6.0, 1..60)) {
+            let (p, mut now) = (policy(), Instant::now());
+            let (mut e, mut last) = (Ears::default(), now);
+            for g in gaps {
+                // a new worker turns to a sibling, and comes here half a second later
+                now += Duration::from_secs_f64(g);
+                prop_assert!(!e.deaf(last, Some(now), true, &p, now));
+                now += Duration::from_millis(500);
+                last = now;
+                prop_assert!(!e.deaf(last, Some(now - Duration::from_millis(500)), true, &p, now));
+            }
+        }
+    }
+
+    #[test]
+    fn authority_counts_from_the_sending() {
+        let sent = Instant::now();
+        let until = lasts_until(sent, Duration::from_secs(4), 0.0005);
+        assert!(until < sent + Duration::from_secs(4));
+        assert!(until > sent + Duration::from_millis(3990));
+    }
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,20 +1,16 @@
 //! The command line.
 
-use std::io::{IsTerminal, Write};
+use std::io::IsTerminal;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::rc::Rc;
-use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use clap::{Parser, Subcommand};
-use smol::net::TcpListener;
 use tracing_subscriber::filter::LevelFilter;
 
+use crate::client::{say, BAD_SETTINGS};
 use crate::config::Config;
-use crate::http::{serve, ServerLimits};
-use crate::node::Node;
-use crate::policy::{Checked, Policy};
+use crate::policy::Checked;
 
 #[derive(Parser)]
 #[command(name = "coralnotch", version, about = "A cluster scheduler")]
@@ -96,9 +92,6 @@
 
 /// How often a followed job is asked about.
 const FOLLOW_EVERY: Duration = Duration::from_secs(1);
-/// Exit code for settings and other input that can't be used.
-pub(crate) const BAD_SETTINGS: u8 = 2;
-
 /// Runs the command line.
 pub fn main() -> ExitCode {
     let args = Args::parse();
@@ -126,7 +119,7 @@
         say(&format!("{}: settings and policy are in order", config.display()));
         return ExitCode::SUCCESS;
     }
-    match daemon(settings, checked.policy) {
+    match crate::run::run(settings, checked.policy) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("coralnotch: {e}");
@@ -150,11 +143,6 @@
     Ok(())
 }
 
-/// Prints a line.  A reader that has gone away, such as `head`, is no failure.
-pub(crate) fn say(line: &str) {
-    let _ = writeln!(std::io::stdout(), "{line}");
-}
-
 /// Runs a command against a running controller.
 fn ask(command: &Command) -> ExitCode {
     use crate::client::{job_text, print, status_text, Controller, Error};
@@ -212,52 +200,3 @@
         .map_err(|faults| faults.iter().map(|f| f.to_string()).collect::<Vec<_>>().join("\n"))?;
     Ok((config, checked))
 }
-
-/// Runs a controller on this thread.
-fn daemon(config: Config, policy: Policy) -> std::io::Result<()> {
-    let ex = Rc::new(smol::LocalExecutor::new());
-    // sockets are left for the state service, the cloud and siblings, and for
-    // direct commands to workers
-    let most = config.deployment.quota.fd_limit;
-    let connections = most.saturating_sub(64 + policy.direct_calls).max(16);
-    let limits = ServerLimits {
-        connections,
-        scarce: (connections as f64 * policy.scarce_share) as usize,
-        idle: policy.connection_idle,
-        arrive: Duration::from_secs(10),
-        // the most patient are users that submit
-        answer: Duration::from_secs(5),
-    };
-    let (bind, peer_bind) = (config.bind, config.peer_bind);
-    let node = Arc::new(Node::new(config, policy, Instant::now()));
-    smol::block_on(ex.run(async {
-        let listener = TcpListener::bind(bind).await?;
-        tracing::info!("{} listens on {bind}", node.config.name);
-        let peers = TcpListener::bind(peer_bind).await?;
-        ex.spawn(node.clone().serve_peers(peers)).detach();
-        let (n, e) = (node.clone(), ex.clone());
-        ex.spawn(async move { n.peer_work(|w| e.spawn(w).detach()).await }).detach();
-        let n = node.clone();
-        ex.spawn(async move { n.follow().await }).detach();
-        let n = node.clone();
-        ex.spawn(async move { n.pulse().await }).detach();
-        let n = node.clone();
-        let watch = ex.spawn(async move { n.watch().await });
-        let n = node.clone();
-        ex.spawn(async move { n.stand().await }).detach();
-        let n = node.clone();
-        ex.spawn(async move { n.store_submissions().await }).detach();
-        let n = node.clone();
-        ex.spawn(async move { n.confirm_open().await }).detach();
-        let n = node.clone();
-        ex.spawn(async move { n.look_up().await }).detach();
-        ex.spawn(node.clone().types_at_start()).detach();
-        let handler = Rc::new(move |r| node.clone().handle(r));
-        let served = async {
-            serve(ex.clone(), listener, limits, handler).await;
-            "the listener failed"
-        };
-        let why = futures_lite::future::or(watch, served).await;
-        Err(std::io::Error::other(why))
-    }))
-}
--- a/src/client.rs
+++ b/src/client.rs
@@ -1,5 +1,6 @@
 //! The commands that talk to a running controller, as a user's program would.
 
+use std::io::Write;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -41,6 +42,8 @@
     error: String,
 }
 
+/// Exit code for settings and other input that can't be used.
+pub(crate) const BAD_SETTINGS: u8 = 2;
 /// How long one try may take.
 const TRY: Duration = Duration::from_secs(5);
 
@@ -162,6 +165,11 @@
     lines.join("\n")
 }
 
+/// Prints a line.  A reader that has gone away, such as `head`, is no failure.
+pub(crate) fn say(line: &str) {
+    let _ = writeln!(std::io::stdout(), "{line}");
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -5,7 +5,7 @@
 //! over" is said only after the store has confirmed that no end is stored,
 //! many queries in one comparison: no controller ever gives an older answer.
 
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use serde::Serialize;
@@ -15,9 +15,12 @@
 
 use crate::ledger::{Ended, Open, Standing};
 use crate::model::*;
-use crate::node::{timed, Node};
-use crate::store::{key, read_value, Budget, Error, Outcome, Txn, Write};
+use crate::node::{Inner, Node};
+use crate::queues::Accepted;
+use crate::siblings::wire;
+use crate::store::{key, read_value, Error, Outcome, Txn, Write};
 use crate::telemetry::{count, Timed};
+use crate::wait::timed;
 use crate::workers::{Answer, Command, Report, Reported, TaskState};
 
 #[derive(Serialize)]
@@ -26,44 +29,6 @@
     answer_to: Option<&'a str>,
 }
 
-type Reply<T> = smol::channel::Sender<T>;
-type Queue<T> = (smol::channel::Sender<T>, smol::channel::Receiver<T>);
-
-/// What the store said of a submission.
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum Accepted {
-    New,
-    Before,
-    Unknown,
-}
-
-/// Users' requests on their way to the store, gathered into transactions.
-pub struct Intake {
-    submissions: Queue<(Arc<Spec>, Reply<Accepted>)>,
-    checks: Queue<(Name, Reply<Option<Option<Fate>>>)>,
-    /// Ids that are not known here.
-    lookups: Queue<(Name, Reply<Option<Found>>)>,
-    /// Requests to the store for these.
-    lookup_calls: Mutex<Budget>,
-}
-
-/// Requests that may wait for the store at once; more are refused.
-const MOST_WAITING: usize = 512;
-
-impl Intake {
-    /// Queues of nothing.  Queries for unknown ids may take so many requests a
-    /// second; no more of them wait than a second serves, the rest is refused.
-    pub fn new(lookup_rate: f64, now: Instant) -> Intake {
-        let most = (lookup_rate as usize).clamp(1, MOST_WAITING);
-        Intake {
-            submissions: smol::channel::bounded(MOST_WAITING),
-            checks: smol::channel::bounded(MOST_WAITING),
-            lookups: smol::channel::bounded(most),
-            lookup_calls: Mutex::new(Budget::new(lookup_rate, lookup_rate, now)),
-        }
-    }
-}
-
 /// A user waits 5 s for a submission; an answer after this is none.
 const SUBMIT_LIMIT: Duration = Duration::from_millis(4000);
 /// A user waits 2 s for a query.
@@ -255,7 +220,7 @@
     /// renewed.  As silence is never taken for a proof, the leader outside
     /// starts none of them again; and what it has to stop for a withdrawal, it
     /// has the cloud delete.
-    fn alone(&self, i: &crate::node::Inner, report: &Report, now: Instant) -> bool {
+    fn alone(&self, i: &Inner, report: &Report, now: Instant) -> bool {
         let p = &self.policy;
         let cut = now.duration_since(self.store.last_served());
         *report.zone == *self.config.zone
@@ -269,7 +234,7 @@
     /// An answer that renews the worker's lease, starts nothing, and stops
     /// what belongs to jobs that are known to be over: that is right at any
     /// time and by whomever.
-    fn keep_alive(&self, i: &crate::node::Inner, report: &Report, token: u64) -> Answer {
+    fn keep_alive(&self, i: &Inner, report: &Report, token: u64) -> Answer {
         count(&self.telemetry.counters.kept_alive);
         let over = |t: &&Reported| t.state != TaskState::Ended && i.ledger.fate(&t.task.job).is_some();
         let halt = |t: &Reported| Command::Halt { task: t.task.clone(), attempt: t.attempt, grace: 0.0 };
@@ -578,14 +543,14 @@
     }
 
     /// Done and running tasks of all jobs that are not over, for siblings.
-    pub fn progress(&self) -> Vec<crate::peers::wire::Progress> {
+    pub fn progress(&self) -> Vec<wire::Progress> {
         let i = self.lock();
         let Some(c) = i.cluster.as_ref() else { return Vec::new() };
         let mut running: std::collections::HashMap<&Name, u32> = std::collections::HashMap::new();
         for (t, p) in c.machines.values().flat_map(|m| &m.tasks) {
             *running.entry(&t.job).or_default() += u32::from(p.phase == crate::cluster::Phase::Running);
         }
-        let of = |j: &crate::cluster::Job| crate::peers::wire::Progress {
+        let of = |j: &crate::cluster::Job| wire::Progress {
             id: j.spec.id.to_string(),
             done: j.done.len(),
             running: running.get(&j.spec.id).copied().unwrap_or(0),
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -8,18 +8,19 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use serde::{Deserialize, Serialize};
 
+use crate::authority::{Authority, Ears, DEAF};
 use crate::cluster::{Cluster, Machine, Stage};
 use crate::cluster::{Listed, Rental};
 use crate::cluster::{Page, Whereabouts};
 use crate::commit::read_page;
 use crate::fleet::Plan;
 use crate::http;
-use crate::leadership::{Authority, Ears};
 use crate::ledger::{Open, Standing};
 use crate::model::*;
 use crate::node::{Inner, Node};
 use crate::store::{key, read_value, Error, Item, Outcome, Txn, Write};
 use crate::telemetry::{count, Timed};
+use crate::wait::timed;
 use crate::workers::Report;
 
 #[derive(Deserialize)]
@@ -40,9 +41,6 @@
     machines: Vec<Name>,
 }
 
-/// Why a leader that no worker reaches hands over.
-pub const DEAF: &str = "hears no worker";
-
 /// How long the cloud may take to answer.
 const CLOUD_LIMIT: Duration = Duration::from_secs(4);
 
@@ -99,7 +97,7 @@
         while self.lock().epoch < a.stamp {
             smol::Timer::after(Duration::from_millis(20)).await;
         }
-        let asked = crate::node::timed(self.policy.renew, self.ask_all(true));
+        let asked = timed(self.policy.renew, self.ask_all(true));
         let stored = futures_util::future::join(self.store.list(key::PAGE), self.store.list(key::RENTAL));
         let ((pages, rentals), _) = futures_util::future::join(stored, asked).await;
         let pages: Vec<_> = pages?.into_iter().filter_map(|i| read_page(&i.path, &i)).collect();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 //! at the head of the queue, switching between best-fit and fastest-first
 //! machines by speed variance, load and an AI2 lookahead.
 
+pub mod authority;
 pub mod cli;
 pub mod client;
 pub mod intake;
@@ -9,9 +10,15 @@
 pub mod leadership;
 pub mod node;
 pub mod peers;
+pub mod queues;
+pub mod run;
+pub mod siblings;
+pub mod status;
 pub mod store;
 pub mod submit;
 pub mod telemetry;
+pub mod wait;
+pub mod watch;
 
 pub use coralnotch_core::{cluster, commit, fleet, ledger, lookup, placement, workers};
 pub use coralnotch_policy::{config, policy};
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,24 +1,23 @@
-//! One controller: the state its slices share, behind a short lock, and the
-//! loops that connect the slices to the world.
+//! One controller: the state its slices share, behind a short lock.  The ground
+//! that they stand on; it must not know any of them.
 
-use std::collections::{HashMap, HashSet};
-use std::future::Future;
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use futures_lite::future::or;
-
+use crate::authority::{Authority, LeaderRecord};
 use crate::cluster::Want;
 use crate::cluster::{Cluster, TeamLimit};
 use crate::config::Config;
 use crate::http;
-use crate::intake::Intake;
-use crate::leadership::{Authority, LeaderRecord};
-use crate::ledger::{Ledger, News, Sweep};
+use crate::ledger::Ledger;
 use crate::model::*;
 use crate::policy::Policy;
-use crate::store::{key, read_value, Budget, Error, Event, Item, Store};
+use crate::queues::Intake;
+use crate::siblings::Peers;
+use crate::store::{Budget, Store};
 use crate::telemetry::Telemetry;
+use crate::wait::Wake;
 
 /// The leader as seen in the store.
 #[derive(Debug, Clone)]
@@ -105,35 +104,6 @@
     }
 }
 
-/// A wake-up that is never lost and never queues up.
-pub struct Wake(smol::channel::Sender<()>, smol::channel::Receiver<()>);
-
-impl Default for Wake {
-    fn default() -> Self {
-        let (s, r) = smol::channel::bounded(1);
-        Wake(s, r)
-    }
-}
-
-impl Wake {
-    /// Wakes whoever waits, now or next.
-    pub fn wake(&self) {
-        let _ = self.0.try_send(());
-    }
-    /// Waits for a wake-up, or until the time is over.
-    pub async fn wait(&self, most: Duration) {
-        or(
-            async {
-                let _ = self.1.recv().await;
-            },
-            async {
-                smol::Timer::after(most).await;
-            },
-        )
-        .await;
-    }
-}
-
 /// A controller.
 pub struct Node {
     /// Settings.
@@ -152,7 +122,7 @@
     /// Something to store.
     pub to_commit: Wake,
     /// The other controllers.
-    pub peers: crate::peers::Peers,
+    pub peers: Peers,
     /// Client for the workers.
     pub workers: http::Client,
     /// Something to tell workers.
@@ -167,15 +137,6 @@
     pub telemetry: Telemetry,
 }
 
-/// Runs a future for at most so long.
-pub async fn timed<T>(limit: Duration, work: impl Future<Output = T>) -> Option<T> {
-    or(async { Some(work.await) }, async {
-        smol::Timer::after(limit).await;
-        None
-    })
-    .await
-}
-
 impl Node {
     /// A controller that has not started yet.
     pub fn new(config: Config, policy: Policy, now: Instant) -> Node {
@@ -193,7 +154,7 @@
             cloud_calls: Mutex::new(Budget::new(rps * 0.7, rps * 1.4, now)),
             to_place: Wake::default(),
             to_commit: Wake::default(),
-            peers: crate::peers::Peers::new(&config.siblings),
+            peers: Peers::new(&config.siblings),
             workers: http::Client::new(most_idle),
             to_command: Wake::default(),
             stored: event_listener::Event::new(),
@@ -256,7 +217,7 @@
         }
     }
 
-    fn opened(&self, i: &mut Inner, spec: Arc<Spec>, stamp: u64, now: Instant) {
+    pub(crate) fn opened(&self, i: &mut Inner, spec: Arc<Spec>, stamp: u64, now: Instant) {
         if let Some(c) = i.cluster.as_mut() {
             c.add_job(spec, stamp, None, now);
             self.to_place.wake();
@@ -270,184 +231,35 @@
         self.closed(&mut i, id, fate, now);
     }
 
-    fn closed(&self, i: &mut Inner, id: &str, fate: Fate, now: Instant) {
+    pub(crate) fn closed(&self, i: &mut Inner, id: &str, fate: Fate, now: Instant) {
         if let Some(c) = i.cluster.as_mut() {
             c.set_fate(id, fate, now);
             self.to_place.wake();
             self.to_commit.wake();
         }
     }
+}
 
-    fn event(&self, e: Event) {
-        let now = Instant::now();
-        match (e.set, e.delete, e.data) {
-            (Some(path), _, Some(data)) => {
-                if path.starts_with(key::JOB) {
-                    if let Some(spec) = read_value::<Spec>(&path, data) {
-                        self.learn_job(Arc::new(spec), e.stamp, now);
-                    }
-                } else if let Some(id) = path.strip_prefix(key::FATE) {
-                    if let Some(f) = read_value::<FateRecord>(&path, data) {
-                        self.learn_fate(id, f.fate, now);
-                    }
-                } else if path == key::LEADER {
-                    if let Some(record) = read_value::<LeaderRecord>(&path, data) {
-                        tracing::info!("{} leads, term {}", record.name, record.term);
-                        self.lock().leader = Some(LeaderSeen { record, stamp: e.stamp });
-                        self.to_lead.wake();
-                    }
-                } else if path == key::TYPES {
-                    if let Some(t) = read_value::<Vec<MachineType>>(&path, data) {
-                        let mut i = self.lock();
-                        if i.types.is_empty() {
-                            i.types = t;
-                        }
-                    }
-                }
-            }
-            (_, Some(path), _) if path == key::LEADER => {
-                tracing::info!("nobody leads");
-                self.lock().leader = None;
-                self.to_lead.wake();
-            }
-            _ => {}
-        }
-    }
-
-    fn caught_up(&self, epoch: u64) {
-        let mut inner = self.lock();
-        inner.epoch = inner.epoch.max(epoch);
-        if !inner.synced {
-            tracing::info!("caught up with the store at {epoch}, {} unfinished jobs", inner.ledger.len());
-        }
-        inner.synced = true;
-        self.to_lead.wake();
-    }
-
-    /// Whether the store holds the layout of an earlier version, which this
-    /// program does not read: two layouts side by side would run tasks twice.
-    async fn outdated(&self) -> bool {
-        loop {
-            match self.store.any(key::OUTDATED).await {
-                Ok(found) => return found,
-                Err(e) => {
-                    tracing::debug!("cannot read the store yet: {e}");
-                    smol::Timer::after(self.policy.renew / 2).await;
-                }
-            }
-        }
-    }
-
-    /// Reads all that is unfinished, and returns the revision to watch from.  Memory is taken for what is unfinished and for a page at a time,
-    /// whatever the history.
-    async fn catch_up(&self) -> Result<u64, Error> {
-        let first = !self.lock().synced;
-        let page = self.store.page(key::LEADER, "").await?;
-        let epoch = page.epoch;
-        let seen = |i: Item| self.event(Event { set: Some(i.path), delete: None, data: Some(i.data), stamp: i.stamp });
-        {
-            let mut i = self.lock();
-            i.ledger.begins(epoch);
-            if page.rows.is_empty() {
-                i.leader = None;
-            }
-        }
-        page.rows.into_iter().for_each(seen);
-        self.store.get(key::TYPES).await?.into_iter().for_each(seen);
-        // ended jobs whose tasks may still be somewhere: a controller that
-        // leads soon would have to read them one by one
-        let mut wanted = HashSet::new();
-        if first {
-            for item in self.store.list(key::PAGE).await? {
-                wanted.extend(crate::commit::jobs_of_page(&item));
-            }
-        }
-        let mut sweep = Sweep::new(wanted);
-        let (mut since, mut looked) = (epoch, Instant::now());
-        while let Some(need) = sweep.need() {
-            match self.store.page(need.under, &need.since).await {
-                Ok(page) => sweep.page(need.under, page.rows, page.truncated),
-                // only this page is read again: a long read has to come to its
-                // end though the service fails now and then
-                Err(e) => {
-                    tracing::debug!("a page of {}: {e}", need.under);
-                    smol::Timer::after(self.policy.renew / 2).await;
-                }
-            }
-            self.enter(&mut sweep);
-            // the service keeps a limited number of changes: a read that takes
-            // longer than they last would begin again and again
-            if looked.elapsed() > self.policy.renew {
-                looked = Instant::now();
-                match self.store.changes(key::WATCHED, since, Duration::ZERO).await {
-                    Ok((news, epoch)) => {
-                        let ended = |e: &Event| Some(Name::from(e.set.as_ref()?.strip_prefix(key::FATE)?));
-                        sweep.ended(news.iter().filter_map(ended));
-                        since = self.changed(news, epoch.max(since));
-                    }
-                    Err(Error::Gone) => return Err(Error::Gone),
-                    Err(e) => tracing::debug!("watch: {e}"),
-                }
-            }
-        }
-        Ok(since)
-    }
-
-    /// Takes what the sweep has at hand into the ledger and to the leader.
-    fn enter(&self, sweep: &mut Sweep) {
-        let (mut guard, now) = (self.lock(), Instant::now());
-        let i = &mut *guard;
-        let mut news = Vec::new();
-        sweep.enter(&mut i.ledger, |n| news.push(n));
-        for n in news {
-            match n {
-                News::Open(o) => self.opened(i, o.spec, o.stamp, now),
-                News::Ended(id, fate) => self.closed(i, &id, fate, now),
-            }
-        }
-    }
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
 
-    /// Changes up to a revision, in their order and with no await between them:
-    /// the ledger's floor is the last one's.
-    fn changed(&self, news: Vec<Event>, epoch: u64) -> u64 {
-        for e in news {
-            self.event(e);
-        }
-        self.lock().ledger.begins(epoch);
-        epoch
-    }
-
-    /// Keeps up with the store for as long as the controller runs.  Returns
-    /// only if the store is not for this version.
-    pub async fn watch(&self) -> &'static str {
-        if self.outdated().await {
-            return "the state service holds the layout of an earlier version (keys under c1/): \
-                    finish its jobs with that version, or remove the keys, and start again";
-        }
-        let block = Duration::from_secs_f64(self.policy.ttl.as_secs_f64() * 1.5);
-        loop {
-            let mut since = match self.catch_up().await {
-                Ok(epoch) => epoch,
-                Err(e) => {
-                    tracing::debug!("cannot read the store yet: {e}");
-                    smol::Timer::after(self.policy.renew / 2).await;
-                    continue;
-                }
-            };
-            self.caught_up(since);
-            loop {
-                match self.store.changes(key::WATCHED, since, block).await {
-                    Ok((news, epoch)) => {
-                        since = self.changed(news, epoch.max(since));
-                        let mut i = self.lock();
-                        i.epoch = i.epoch.max(since);
-                    }
-                    Err(Error::Gone) => break,
-                    Err(e) => {
-                        tracing::debug!("watch: {e}");
-                        smol::Timer::after(self.policy.renew / 2).await;
-                    }
+    proptest! {
+        /// Gaps are told from ticks, and counted from the wake.
+        #[test]
+        fn the_pulse_tells_gaps(ticks in prop::collection::vec(0u64..9000, 1..40)) {
+            let (mut now, mut pulse, most) = (Instant::now(), None, Duration::from_secs(2));
+            let mut since = now;
+            Pulse::beat(&mut pulse, most, now);
+            for t in ticks {
+                now += Duration::from_millis(t);
+                let gap = Pulse::beat(&mut pulse, most, now);
+                prop_assert_eq!(gap.is_some(), t > 2000);
+                if gap.is_some() {
+                    since = now;
                 }
+                prop_assert_eq!(pulse.map(|p| p.since), Some(since));
             }
         }
     }
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -5,237 +5,23 @@
 //! they are refused too: then it is an outage, nobody can take its place, and
 //! it may go on renewing the workers' leases (without commands).
 
-use std::collections::HashMap;
-use std::future::Future;
-use std::net::SocketAddr;
-use std::pin::Pin;
-use std::sync::{Arc, Mutex};
-use std::task::{Context, Poll};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use hyper::body::Incoming;
-use hyper::client::conn::http2::SendRequest;
-use smol::net::{TcpListener, TcpStream};
+use smol::net::TcpListener;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use tonic::body::Body;
 
 use crate::cluster::{Learned, Machine};
 use crate::http::{Request, Response};
-use crate::model::Name;
-use crate::node::{timed, Node};
+use crate::node::Node;
+use crate::siblings::wire::peer_server::{Peer, PeerServer};
+use crate::siblings::{from_wire, lock, to_wire, wire, Link, Seen, Work};
 
-/// What protox made of `proto/peer.proto`.
-#[allow(missing_docs, clippy::all)]
-pub mod wire {
-    tonic::include_proto!("coralnotch.peer");
-}
-
-use wire::peer_client::PeerClient;
-use wire::peer_server::{Peer, PeerServer};
-
-type Work = Pin<Box<dyn Future<Output = ()> + Send>>;
-
-/// Hands futures to the controller's executor.
-#[derive(Clone)]
-pub struct Spawner(smol::channel::Sender<Work>);
-
-impl<F> hyper::rt::Executor<F> for Spawner
-where
-    F: Future + Send + 'static,
-{
-    fn execute(&self, work: F) {
-        let work: Work = Box::pin(async move {
-            work.await;
-        });
-        if self.0.try_send(work).is_err() {
-            tracing::error!("no room for another task between controllers");
-        }
-    }
-}
-
-/// Tasks that may wait to be started.
-const MOST_WORK: usize = 1024;
 /// Requests of one sibling at once.
 const MOST_STREAMS: u32 = 64;
 
-/// How a sibling stood when it last answered.
-#[derive(Debug, Clone, Copy)]
-pub struct Seen {
-    at: Instant,
-    served: bool,
-    term: u64,
-    /// When a worker last reported there.
-    heard: Option<Instant>,
-}
-
-struct Link {
-    name: String,
-    addr: SocketAddr,
-    open: Mutex<Option<SendRequest<Body>>>,
-}
-
-/// The siblings.
-pub struct Peers {
-    links: Vec<Link>,
-    seen: Mutex<HashMap<String, Seen>>,
-    /// Progress of jobs as the leader last told.
-    progress: Mutex<HashMap<crate::model::Name, (u32, u32)>>,
-    /// What the leader had learned of machines, as it last told.
-    learned: Mutex<HashMap<Name, Learned>>,
-    spawn: Spawner,
-    work: smol::channel::Receiver<Work>,
-}
-
-/// What was learned of machines, for the wire: each image once.
-fn to_wire<'a>(all: impl Iterator<Item = (&'a Name, Learned)>, now: Instant) -> (Vec<wire::Learned>, Vec<wire::Image>) {
-    let (mut machines, mut images) = (Vec::new(), Vec::new());
-    let mut known: HashMap<Name, u32> = HashMap::new();
-    for (machine, l) in all.filter(|(_, l)| !l.images.is_empty() || l.samples > 0 || l.heard.is_some()) {
-        let held = l.images.into_iter().map(|(name, gb)| {
-            *known.entry(name).or_insert_with_key(|name| {
-                images.push(wire::Image { name: name.to_string(), gb });
-                images.len() as u32 - 1
-            })
-        });
-        let images = held.collect();
-        let heard_ms = l.heard.map(|t| now.saturating_duration_since(t).as_millis() as u64);
-        machines.push(wire::Learned {
-            machine: machine.to_string(),
-            speed: l.speed,
-            samples: l.samples,
-            images,
-            heard_ms,
-        });
-    }
-    (machines, images)
-}
-
-fn from_wire(machines: Vec<wire::Learned>, images: &[wire::Image], now: Instant) -> HashMap<Name, Learned> {
-    let names: Vec<(Name, f64)> = images.iter().map(|i| (i.name.as_str().into(), i.gb)).collect();
-    // strange figures are no hint
-    let sane = |l: &wire::Learned| l.speed.is_finite() && (0.01..=100.0).contains(&l.speed);
-    machines
-        .into_iter()
-        .filter(sane)
-        .map(|l| {
-            let images = l.images.iter().filter_map(|i| names.get(*i as usize).cloned()).collect();
-            let heard = l.heard_ms.and_then(|ms| now.checked_sub(Duration::from_millis(ms)));
-            (l.machine.as_str().into(), Learned { speed: l.speed, samples: l.samples, images, heard })
-        })
-        .collect()
-}
-
-/// One HTTP/2 connection as tonic's transport.
-struct Channel(SendRequest<Body>);
-
-impl tower_service::Service<http::Request<Body>> for Channel {
-    type Response = http::Response<Incoming>;
-    type Error = hyper::Error;
-    type Future = Pin<Box<dyn Future<Output = Result<Self::Response, Self::Error>> + Send>>;
-
-    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
-        self.0.poll_ready(cx)
-    }
-
-    fn call(&mut self, r: http::Request<Body>) -> Self::Future {
-        Box::pin(self.0.send_request(r))
-    }
-}
-
-fn lock<T>(m: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    m.lock().unwrap_or_else(|e| e.into_inner())
-}
-
-impl Peers {
-    /// The siblings of the settings.
-    pub fn new(siblings: &[crate::config::Sibling]) -> Peers {
-        let (s, work) = smol::channel::bounded(MOST_WORK);
-        let link = |s: &crate::config::Sibling| Link { name: s.name.clone(), addr: s.addr, open: Mutex::default() };
-        Peers {
-            links: siblings.iter().map(link).collect(),
-            seen: Mutex::default(),
-            progress: Mutex::default(),
-            learned: Mutex::default(),
-            spawn: Spawner(s),
-            work,
-        }
-    }
-
-    async fn client(&self, l: &Link) -> Option<PeerClient<Channel>> {
-        let open = lock(&l.open).clone().filter(|s| !s.is_closed());
-        let send = match open {
-            Some(s) => s,
-            None => {
-                let stream = TcpStream::connect(l.addr).await.ok()?;
-                let _ = stream.set_nodelay(true);
-                let (send, conn) = hyper::client::conn::http2::Builder::new(self.spawn.clone())
-                    .timer(SmolTimer::new())
-                    .handshake(FuturesIo::new(stream))
-                    .await
-                    .ok()?;
-                hyper::rt::Executor::execute(&self.spawn, async move {
-                    let _ = conn.await;
-                });
-                *lock(&l.open) = Some(send.clone());
-                send
-            }
-        };
-        let origin =
-            http::Uri::builder().scheme("http").authority(l.addr.to_string()).path_and_query("/").build().ok()?;
-        Some(PeerClient::with_origin(Channel(send), origin))
-    }
-
-    /// One call; a link that fails is opened anew the next time.
-    async fn call<T, F>(&self, l: &Link, limit: Duration, work: impl FnOnce(PeerClient<Channel>) -> F) -> Option<T>
-    where
-        F: Future<Output = Result<tonic::Response<T>, tonic::Status>>,
-    {
-        let answer = timed(limit, async {
-            let client = self.client(l).await?;
-            work(client).await.ok()
-        })
-        .await
-        .flatten();
-        if answer.is_none() {
-            *lock(&l.open) = None;
-        }
-        answer.map(tonic::Response::into_inner)
-    }
-
-    /// Done and running tasks of a job, as the leader last told.
-    pub fn progress(&self, id: &str) -> (u32, u32) {
-        lock(&self.progress).get(id).copied().unwrap_or_default()
-    }
-
-    /// What the leader had learned of machines, as it last told.
-    pub fn learned(&self) -> HashMap<Name, Learned> {
-        lock(&self.learned).clone()
-    }
-
-    /// Whether siblings answered lately, all of them refused by the state
-    /// service and none of a later term: an outage, not our own trouble.
-    pub fn outage(&self, term: u64, fresh: Duration, now: Instant) -> bool {
-        let seen = lock(&self.seen);
-        let mut lately = seen.values().filter(|s| now.duration_since(s.at) < fresh).peekable();
-        lately.peek().is_some() && lately.all(|s| !s.served && s.term <= term)
-    }
-
-    /// This controller stood still: what it knew of the siblings is old.
-    pub fn woke(&self) {
-        lock(&self.seen).clear();
-    }
-
-    /// When a worker last reported to any sibling, as far as they told.
-    pub fn heard(&self) -> Option<Instant> {
-        lock(&self.seen).values().filter_map(|s| s.heard).max()
-    }
-
-    /// Whether there are siblings, and some answered lately.
-    pub fn reachable(&self, fresh: Duration, now: Instant) -> bool {
-        lock(&self.seen).values().any(|s| now.duration_since(s.at) < fresh)
-    }
-}
-
 impl Node {
     /// Asks one sibling how it stands.
     async fn ask(&self, l: &Link, progress: bool) {
@@ -390,34 +176,3 @@
         Ok(tonic::Response::new(wire::StatusResponse { served, term, leads, jobs, machines, images, heard_ms }))
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use proptest::prelude::*;
-
-    proptest! {
-        /// What one leader learned reaches the next as it was.
-        #[test]
-        fn learned_survives_the_wire(
-            all in prop::collection::btree_map(
-                "i-[0-9]{4}",
-                (0.1f64..10.0, 1u32..9, prop::collection::vec(0usize..5, 0..4), prop::option::of(0u64..9000)),
-                0..20,
-            ),
-        ) {
-            let now = Instant::now() + Duration::from_secs(10);
-            let image = |i: &usize| (Name::from(format!("img-{i}")), *i as f64 + 1.0);
-            let all: HashMap<Name, Learned> = all
-                .into_iter()
-                .map(|(n, (speed, samples, held, heard_ms))| {
-                    let heard = heard_ms.map(|ms| now - Duration::from_millis(ms));
-                    (n.as_str().into(), Learned { speed, samples, images: held.iter().map(image).collect(), heard })
-                })
-                .collect();
-            let (machines, images) = to_wire(all.iter().map(|(n, l)| (n, l.clone())), now);
-            prop_assert!(images.len() <= 5);
-            prop_assert_eq!(from_wire(machines, &images, now), all);
-        }
-    }
-}
--- /dev/null
+++ b/src/run.rs
@@ -0,0 +1,61 @@
+//! A controller from its start: the one place that drives all slices.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use smol::net::TcpListener;
+
+use crate::config::Config;
+use crate::http::{serve, ServerLimits};
+use crate::node::Node;
+use crate::policy::Policy;
+
+/// Runs a controller on this thread.
+pub fn run(config: Config, policy: Policy) -> std::io::Result<()> {
+    let ex = Rc::new(smol::LocalExecutor::new());
+    // sockets are left for the state service, the cloud and siblings, and for
+    // direct commands to workers
+    let most = config.deployment.quota.fd_limit;
+    let connections = most.saturating_sub(64 + policy.direct_calls).max(16);
+    let limits = ServerLimits {
+        connections,
+        scarce: (connections as f64 * policy.scarce_share) as usize,
+        idle: policy.connection_idle,
+        arrive: Duration::from_secs(10),
+        // the most patient are users that submit
+        answer: Duration::from_secs(5),
+    };
+    let (bind, peer_bind) = (config.bind, config.peer_bind);
+    let node = Arc::new(Node::new(config, policy, Instant::now()));
+    smol::block_on(ex.run(async {
+        let listener = TcpListener::bind(bind).await?;
+        tracing::info!("{} listens on {bind}", node.config.name);
+        let peers = TcpListener::bind(peer_bind).await?;
+        ex.spawn(node.clone().serve_peers(peers)).detach();
+        let (n, e) = (node.clone(), ex.clone());
+        ex.spawn(async move { n.peer_work(|w| e.spawn(w).detach()).await }).detach();
+        let n = node.clone();
+        ex.spawn(async move { n.follow().await }).detach();
+        let n = node.clone();
+        ex.spawn(async move { n.pulse().await }).detach();
+        let n = node.clone();
+        let watch = ex.spawn(async move { n.watch().await });
+        let n = node.clone();
+        ex.spawn(async move { n.stand().await }).detach();
+        let n = node.clone();
+        ex.spawn(async move { n.store_submissions().await }).detach();
+        let n = node.clone();
+        ex.spawn(async move { n.confirm_open().await }).detach();
+        let n = node.clone();
+        ex.spawn(async move { n.look_up().await }).detach();
+        ex.spawn(node.clone().types_at_start()).detach();
+        let handler = Rc::new(move |r| node.clone().handle(r));
+        let served = async {
+            serve(ex.clone(), listener, limits, handler).await;
+            "the listener failed"
+        };
+        let why = futures_lite::future::or(watch, served).await;
+        Err(std::io::Error::other(why))
+    }))
+}
--- a/src/submit.rs
+++ b/src/submit.rs
@@ -18,7 +18,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
-use crate::cli::{say, BAD_SETTINGS};
+use crate::client::{say, BAD_SETTINGS};
 use crate::model::{Name, Spec};
 
 /// How to submit.
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -4,14 +4,12 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
 
-use crate::cluster::Machine;
 use crate::model::Name;
-use crate::node::Node;
 
 /// What is timed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -194,83 +192,6 @@
     pub latencies: BTreeMap<String, Latency>,
 }
 
-/// Most waiting jobs that a status names.
-const MOST_NAMED: usize = 12;
-
-fn state_of(m: &Machine, fresh: Duration, now: Instant) -> &'static str {
-    match m.heard {
-        _ if m.deleting.is_some() => "being returned",
-        None => "not up",
-        Some(t) if now.duration_since(t) > fresh => "silent",
-        _ if m.drain.is_some() => "drained",
-        _ if m.notice.is_some() => "taken back soon",
-        _ if m.tasks.is_empty() => "idle",
-        _ => "busy",
-    }
-}
-
-impl Node {
-    /// What operators ask for.
-    pub fn status(&self, now: Instant) -> Status {
-        let i = self.lock();
-        let leading = i.cluster.as_ref().filter(|_| i.acts(now)).map(|c| {
-            let since = |t: Instant| now.duration_since(t).as_secs_f64();
-            let mut f = Figures {
-                term: c.term,
-                since_s: since(c.began),
-                cut: c.fleet.cut.iter().cloned().collect(),
-                unstored: c.unstored.len(),
-                pages: c.pages.len(),
-                rentals: c.fleet.open.len(),
-                ..Figures::default()
-            };
-            for m in c.machines.values().filter(|m| m.gone.is_none()) {
-                let state = state_of(m, self.policy.fresh, now);
-                *f.machines.entry(m.zone.to_string()).or_default().entry(state.into()).or_default() += 1;
-                f.placed += m.tasks.len();
-                f.in_doubt += usize::from(m.doubt.is_some());
-            }
-            let open: Vec<_> = c.jobs.values().filter(|j| j.fate.is_none()).collect();
-            f.jobs = open.len();
-            f.waiting = open.iter().map(|j| u64::from(j.todo.len())).sum();
-            let mut waiting: Vec<_> = open.into_iter().filter(|j| !j.todo.is_empty()).collect();
-            waiting.sort_by_key(|j| j.known);
-            let told = |j: &crate::cluster::Job| Waiting {
-                id: j.spec.id.clone(),
-                class: j.spec.class.clone(),
-                tasks: j.todo.len(),
-                since_s: since(j.known),
-                why: j.why.to_owned(),
-            };
-            f.longest = waiting.into_iter().take(MOST_NAMED).map(told).collect();
-            f
-        });
-        let c = &self.telemetry.counters;
-        let counters = [
-            ("requests", &c.requests),
-            ("refused", &c.refused),
-            ("relayed", &c.relayed),
-            ("lookups refused", &c.lookups_refused),
-            ("reports", &c.reports),
-            ("kept alive", &c.kept_alive),
-            ("direct calls", &c.direct),
-            ("direct calls lost", &c.direct_lost),
-            ("commits failed", &c.commits_failed),
-        ];
-        Status {
-            name: self.config.name.clone(),
-            version: env!("CARGO_PKG_VERSION").into(),
-            leader: i.leader.as_ref().map(|l| l.record.name.clone()),
-            served: !self.store.failing(),
-            known_jobs: i.ledger.len(),
-            ended_jobs: i.ledger.ended(),
-            leading,
-            counters: counters.iter().map(|(n, c)| ((*n).to_owned(), c.load(Ordering::Relaxed))).collect(),
-            latencies: self.telemetry.latencies(),
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- /dev/null
+++ b/src/watch.rs
@@ -0,0 +1,187 @@
+//! What the store shows: the first read, and the watch.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::authority::LeaderRecord;
+use crate::ledger::{News, Sweep};
+use crate::model::*;
+use crate::node::{LeaderSeen, Node};
+use crate::store::{key, read_value, Error, Event, Item};
+
+impl Node {
+    fn event(&self, e: Event) {
+        let now = Instant::now();
+        match (e.set, e.delete, e.data) {
+            (Some(path), _, Some(data)) => {
+                if path.starts_with(key::JOB) {
+                    if let Some(spec) = read_value::<Spec>(&path, data) {
+                        self.learn_job(Arc::new(spec), e.stamp, now);
+                    }
+                } else if let Some(id) = path.strip_prefix(key::FATE) {
+                    if let Some(f) = read_value::<FateRecord>(&path, data) {
+                        self.learn_fate(id, f.fate, now);
+                    }
+                } else if path == key::LEADER {
+                    if let Some(record) = read_value::<LeaderRecord>(&path, data) {
+                        tracing::info!("{} leads, term {}", record.name, record.term);
+                        self.lock().leader = Some(LeaderSeen { record, stamp: e.stamp });
+                        self.to_lead.wake();
+                    }
+                } else if path == key::TYPES {
+                    if let Some(t) = read_value::<Vec<MachineType>>(&path, data) {
+                        let mut i = self.lock();
+                        if i.types.is_empty() {
+                            i.types = t;
+                        }
+                    }
+                }
+            }
+            (_, Some(path), _) if path == key::LEADER => {
+                tracing::info!("nobody leads");
+                self.lock().leader = None;
+                self.to_lead.wake();
+            }
+            _ => {}
+        }
+    }
+
+    fn caught_up(&self, epoch: u64) {
+        let mut inner = self.lock();
+        inner.epoch = inner.epoch.max(epoch);
+        if !inner.synced {
+            tracing::info!("caught up with the store at {epoch}, {} unfinished jobs", inner.ledger.len());
+        }
+        inner.synced = true;
+        self.to_lead.wake();
+    }
+
+    /// Whether the store holds the layout of an earlier version, which this
+    /// program does not read: two layouts side by side would run tasks twice.
+    async fn outdated(&self) -> bool {
+        loop {
+            match self.store.any(key::OUTDATED).await {
+                Ok(found) => return found,
+                Err(e) => {
+                    tracing::debug!("cannot read the store yet: {e}");
+                    smol::Timer::after(self.policy.renew / 2).await;
+                }
+            }
+        }
+    }
+
+    /// Reads all that is unfinished, and returns the revision to watch from.  Memory is taken for what is unfinished and for a page at a time,
+    /// whatever the history.
+    async fn catch_up(&self) -> Result<u64, Error> {
+        let first = !self.lock().synced;
+        let page = self.store.page(key::LEADER, "").await?;
+        let epoch = page.epoch;
+        let seen = |i: Item| self.event(Event { set: Some(i.path), delete: None, data: Some(i.data), stamp: i.stamp });
+        {
+            let mut i = self.lock();
+            i.ledger.begins(epoch);
+            if page.rows.is_empty() {
+                i.leader = None;
+            }
+        }
+        page.rows.into_iter().for_each(seen);
+        self.store.get(key::TYPES).await?.into_iter().for_each(seen);
+        // ended jobs whose tasks may still be somewhere: a controller that
+        // leads soon would have to read them one by one
+        let mut wanted = HashSet::new();
+        if first {
+            for item in self.store.list(key::PAGE).await? {
+                wanted.extend(crate::commit::jobs_of_page(&item));
+            }
+        }
+        let mut sweep = Sweep::new(wanted);
+        let (mut since, mut looked) = (epoch, Instant::now());
+        while let Some(need) = sweep.need() {
+            match self.store.page(need.under, &need.since).await {
+                Ok(page) => sweep.page(need.under, page.rows, page.truncated),
+                // only this page is read again: a long read has to come to its
+                // end though the service fails now and then
+                Err(e) => {
+                    tracing::debug!("a page of {}: {e}", need.under);
+                    smol::Timer::after(self.policy.renew / 2).await;
+                }
+            }
+            self.enter(&mut sweep);
+            // the service keeps a limited number of changes: a read that takes
+            // longer than they last would begin again and again
+            if looked.elapsed() > self.policy.renew {
+                looked = Instant::now();
+                match self.store.changes(key::WATCHED, since, Duration::ZERO).await {
+                    Ok((news, epoch)) => {
+                        let ended = |e: &Event| Some(Name::from(e.set.as_ref()?.strip_prefix(key::FATE)?));
+                        sweep.ended(news.iter().filter_map(ended));
+                        since = self.changed(news, epoch.max(since));
+                    }
+                    Err(Error::Gone) => return Err(Error::Gone),
+                    Err(e) => tracing::debug!("watch: {e}"),
+                }
+            }
+        }
+        Ok(since)
+    }
+
+    /// Takes what the sweep has at hand into the ledger and to the leader.
+    fn enter(&self, sweep: &mut Sweep) {
+        let (mut guard, now) = (self.lock(), Instant::now());
+        let i = &mut *guard;
+        let mut news = Vec::new();
+        sweep.enter(&mut i.ledger, |n| news.push(n));
+        for n in news {
+            match n {
+                News::Open(o) => self.opened(i, o.spec, o.stamp, now),
+                News::Ended(id, fate) => self.closed(i, &id, fate, now),
+            }
+        }
+    }
+
+    /// Changes up to a revision, in their order and with no await between them:
+    /// the ledger's floor is the last one's.
+    fn changed(&self, news: Vec<Event>, epoch: u64) -> u64 {
+        for e in news {
+            self.event(e);
+        }
+        self.lock().ledger.begins(epoch);
+        epoch
+    }
+
+    /// Keeps up with the store for as long as the controller runs.  Returns
+    /// only if the store is not for this version.
+    pub async fn watch(&self) -> &'static str {
+        if self.outdated().await {
+            return "the state service holds the layout of an earlier version (keys under c1/): \
+                    finish its jobs with that version, or remove the keys, and start again";
+        }
+        let block = Duration::from_secs_f64(self.policy.ttl.as_secs_f64() * 1.5);
+        loop {
+            let mut since = match self.catch_up().await {
+                Ok(epoch) => epoch,
+                Err(e) => {
+                    tracing::debug!("cannot read the store yet: {e}");
+                    smol::Timer::after(self.policy.renew / 2).await;
+                    continue;
+                }
+            };
+            self.caught_up(since);
+            loop {
+                match self.store.changes(key::WATCHED, since, block).await {
+                    Ok((news, epoch)) => {
+                        since = self.changed(news, epoch.max(since));
+                        let mut i = self.lock();
+                        i.epoch = i.epoch.max(since);
+                    }
+                    Err(Error::Gone) => break,
+                    Err(e) => {
+                        tracing::debug!("watch: {e}");
+                        smol::Timer::after(self.policy.renew / 2).await;
+                    }
+                }
+            }
+        }
+    }
+}
