Emulator: one controller refused, and slow answers of the state service

A controller cannot tell an outage from a refusal that only it gets, and nothing on one machine provoked the second. The state service has an address for each controller now.

--- a/packages/emulator/src/faults.rs
+++ b/packages/emulator/src/faults.rs
@@ -30,6 +30,20 @@
         /// How long.
         lasts: Duration,
     },
+    /// One controller is refused by the state service for a while.
+    Refused {
+        /// Its number.
+        node: usize,
+        /// How long.
+        lasts: Duration,
+    },
+    /// The state service's answers take longer for a while.
+    Delay {
+        /// By how much.
+        by: Duration,
+        /// How long.
+        lasts: Duration,
+    },
     /// The cloud refuses everything for a while.
     CloudOutage {
         /// How long.
@@ -92,7 +106,7 @@
         };
         let at = seconds("at_s");
         let kind = t.get("kind").and_then(|k| k.as_str()).unwrap_or_default().to_owned();
-        let lasts = if kind.ends_with("-outage") || kind == "down" {
+        let lasts = if kind.ends_with("-outage") || matches!(kind.as_str(), "down" | "refused" | "delay") {
             match t.remove("for_s") {
                 Some(v) => v.as_float().or(v.as_integer().map(|n| n as f64)).filter(|s| (0.0..=LATEST_S).contains(s)),
                 None => None,
@@ -116,6 +130,10 @@
         let fault = match kind.as_str() {
             "crash" => Some(Fault::Crash { node: whole("node", 0, nodes as i64) }),
             "down" => Some(Fault::Down { lasts: length }),
+            "refused" => Some(Fault::Refused { node: whole("node", 0, nodes as i64), lasts: length }),
+            "delay" => {
+                Some(Fault::Delay { by: Duration::from_millis(whole("by_ms", 1, 60_001) as u64), lasts: length })
+            }
             "state-outage" => Some(Fault::StateOutage { lasts: length }),
             "cloud-outage" => Some(Fault::CloudOutage { lasts: length }),
             "kill-machines" => Some(Fault::KillMachines { count: whole("count", 1, 10_000) }),
@@ -125,7 +143,7 @@
         match fault {
             Some(fault) => plan.push(Planned { at, fault }),
             None => wrong.push(format!(
-                "fault {}: kind {kind:?} is none of crash, down, state-outage, cloud-outage, kill-machines, spot-wave",
+                "fault {}: kind {kind:?} is none of crash, down, refused, delay, state-outage, cloud-outage, kill-machines, spot-wave",
                 i + 1
             )),
         }
--- a/packages/emulator/src/serve.rs
+++ b/packages/emulator/src/serve.rs
@@ -1,8 +1,8 @@
 //! The stand-ins over TCP, on one thread: what the plain state machines decide
 //! is carried out here, and nothing is decided.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -63,6 +63,10 @@
     pub rng: RefCell<Rng>,
     /// Users' requests by second, from when this was set.
     pub per_second: RefCell<Option<(Instant, Vec<u64>)>>,
+    /// Controllers that the state service refuses.
+    pub refused: RefCell<HashSet<usize>>,
+    /// How much longer the state service's answers take.
+    pub delay: Cell<Duration>,
     controllers: Vec<Controller>,
     report_s: f64,
     workers: RefCell<HashMap<Name, Task<()>>>,
@@ -103,17 +107,26 @@
             balancer: RefCell::new(Balancer::new(&addrs)),
             rng: RefCell::new(rng),
             per_second: RefCell::default(),
+            refused: RefCell::default(),
+            delay: Cell::default(),
             controllers,
             report_s,
             workers: RefCell::default(),
         })
     }
 
-    /// Serves the state service on a listener.
-    pub async fn serve_state(self: Rc<Self>, ex: Rc<LocalExecutor<'static>>, on: TcpListener) {
+    /// Serves the state service to controller `i` on a listener of its own.
+    pub async fn serve_state(self: Rc<Self>, ex: Rc<LocalExecutor<'static>>, on: TcpListener, i: usize) {
         let handler = move |r: Request| {
             let w = self.clone();
             async move {
+                let late = w.delay.get();
+                if !late.is_zero() {
+                    smol::Timer::after(late).await;
+                }
+                if w.refused.borrow().contains(&i) {
+                    return Response::refuse(503, "trouble");
+                }
                 let step = w.state.borrow_mut().ask(&r, Instant::now());
                 let watch = match step {
                     Step::Answer(a) => return a,
@@ -121,6 +134,9 @@
                 };
                 loop {
                     smol::Timer::after(TICK).await;
+                    if w.refused.borrow().contains(&i) {
+                        return Response::refuse(503, "trouble");
+                    }
                     if let Some(a) = w.state.borrow_mut().news(&watch, Instant::now()) {
                         return a;
                     }
--- a/packages/emulator/src/up.rs
+++ b/packages/emulator/src/up.rs
@@ -365,6 +365,22 @@
             };
             ex.spawn(over).detach();
         }
+        Fault::Refused { node, lasts } => {
+            world.refused.borrow_mut().insert(node);
+            let over = async move {
+                smol::Timer::after(lasts).await;
+                w.refused.borrow_mut().remove(&node);
+            };
+            ex.spawn(over).detach();
+        }
+        Fault::Delay { by, lasts } => {
+            world.delay.set(by);
+            let over = async move {
+                smol::Timer::after(lasts).await;
+                w.delay.set(Duration::ZERO);
+            };
+            ex.spawn(over).detach();
+        }
         Fault::CloudOutage { lasts } => {
             world.cloud.borrow_mut().fail(true);
             let over = async move {
@@ -404,19 +420,24 @@
     let ex = Rc::new(LocalExecutor::new());
     smol::block_on(ex.run(async {
         let bind = |port: u16| TcpListener::bind(("127.0.0.1", port));
-        let (state_on, cloud_on) = (tried("state service", bind(0).await)?, tried("cloud", bind(0).await)?);
+        let cloud_on = tried("cloud", bind(0).await)?;
         let users_on = tried(format!("port {} for users", options.port), bind(options.port).await)?;
         let addr = |l: &TcpListener| tried("a listener", l.local_addr());
-        let (state_at, cloud_at, users_at) = (addr(&state_on)?, addr(&cloud_on)?, addr(&users_on)?);
+        let (cloud_at, users_at) = (addr(&cloud_on)?, addr(&users_on)?);
+        // one for each controller, so that one of them can be refused
+        let mut states = Vec::new();
+        for _ in ZONES {
+            states.push(tried("state service", bind(0).await)?);
+        }
         let mut binds = Vec::new();
         for _ in ZONES {
             binds.push((free()?, free()?));
         }
-        for i in 0..binds.len() {
+        for (i, on) in states.iter().enumerate() {
             let file = dir.join(format!("node-{i}.toml"));
             tried(
                 file.display().to_string(),
-                fs::write(&file, settings(i, &binds, state_at, cloud_at, &options.size)),
+                fs::write(&file, settings(i, &binds, addr(on)?, cloud_at, &options.size)),
             )?;
         }
         let mut rng = Rng::with_seed(options.seed);
@@ -433,7 +454,9 @@
         let controllers: Vec<Controller> =
             binds.iter().enumerate().map(|(i, b)| Controller { name: format!("node-{i}"), addr: b.0 }).collect();
         let world = World::new(State::new(options.size.limits()), cloud, yard, controllers, REPORT_S, rng);
-        ex.spawn(world.clone().serve_state(ex.clone(), state_on)).detach();
+        for (i, on) in states.into_iter().enumerate() {
+            ex.spawn(world.clone().serve_state(ex.clone(), on, i)).detach();
+        }
         ex.spawn(world.clone().serve_cloud(ex.clone(), cloud_on)).detach();
         ex.spawn(world.clone().time(ex.clone())).detach();
         ex.spawn(world.clone().balance(ex.clone(), users_on)).detach();
--- a/tests/exactly_once.rs
+++ b/tests/exactly_once.rs
@@ -203,13 +203,17 @@
     }
 }
 
-/// Crashes and an outage at times drawn from a seed.
+/// Crashes, a controller refused, slow answers and an outage at times drawn from a seed.
 fn faults(rng: &mut fastrand::Rng, crashes: usize, within_s: f64) -> String {
     let mut text = String::new();
     for _ in 0..crashes {
         let (at, node) = (rng.f64() * within_s, rng.usize(0..3));
         text += &format!("[[fault]]\nkind = \"crash\"\nat_s = {at:.2}\nnode = {node}\n");
     }
+    let (at, node) = (rng.f64() * within_s, rng.usize(0..3));
+    text += &format!("[[fault]]\nkind = \"refused\"\nat_s = {at:.2}\nnode = {node}\nfor_s = 3.0\n");
+    let at = rng.f64() * within_s;
+    text += &format!("[[fault]]\nkind = \"delay\"\nat_s = {at:.2}\nby_ms = 300\nfor_s = 2.0\n");
     let at = rng.f64() * within_s;
     text + &format!("[[fault]]\nkind = \"state-outage\"\nat_s = {at:.2}\nfor_s = 2.0\n")
 }
