Client: retries that wait are let go over some seconds once one succeeds

Paying each success back twice let ten thousand held jobs of a hundred clients back within two seconds of the controllers' return: 5,207 requests in one of them. The first success now raises the budget's rate to what waits over five seconds, and a failure puts it back to the trickle.

--- a/packages/client/src/client.rs
+++ b/packages/client/src/client.rs
@@ -341,16 +341,18 @@
                 Outcome::State(_) | Outcome::Refused { .. } | Outcome::Unknown => {
                     i.endpoints.worked(to);
                     if d.errand.again {
-                        i.budget.worked(now);
+                        i.budget.worked(i.held.len(), now);
                     }
                 }
                 Outcome::Later(_) => {
                     add(&self.counts.refused_for_now);
                     i.endpoints.failed(to, now);
+                    i.budget.failed(now);
                 }
                 Outcome::Doubt => {
                     add(&self.counts.in_doubt);
                     i.endpoints.failed(to, now);
+                    i.budget.failed(now);
                 }
             }
         }
@@ -484,6 +486,7 @@
                 settings.retry_ratio,
                 (settings.in_flight as f64 * settings.retry_ratio).max(1.0),
                 settings.retry_trickle,
+                settings.limit,
                 now,
             ),
             rng,
