--- a/src/cli.rs
+++ b/src/cli.rs
@@ -95,7 +95,9 @@
 /// Runs the command line.
 pub fn main() -> ExitCode {
     let args = Args::parse();
-    if let Err(e) = logs() {
+    // a command says what it has to say on standard output
+    let usual = if matches!(args.command, Command::Serve { .. }) { LevelFilter::INFO } else { LevelFilter::WARN };
+    if let Err(e) = logs(usual) {
         eprintln!("coralnotch: {e}");
         return ExitCode::from(BAD_SETTINGS);
     }
@@ -128,12 +130,12 @@
     }
 }
 
-/// Logs go to standard error: as much as `LOG_LEVEL` asks for, lines for
+/// Logs go to standard error: as much as `LOG_LEVEL` asks for, or the usual, lines for
 /// people or, with `LOG_FORMAT=json`, an object a line.
-fn logs() -> Result<(), String> {
+fn logs(usual: LevelFilter) -> Result<(), String> {
     // the platform's variable: a word that is not known must not keep a
     // controller from starting
-    let level = std::env::var("LOG_LEVEL").ok().and_then(|l| l.parse().ok()).unwrap_or(LevelFilter::INFO);
+    let level = std::env::var("LOG_LEVEL").ok().and_then(|l| l.parse().ok()).unwrap_or(usual);
     let lines = tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr);
     match std::env::var("LOG_FORMAT").as_deref() {
         Err(_) | Ok("" | "text") => lines.with_ansi(std::io::stderr().is_terminal()).init(),
