Emulator: the demo and load jobs come from the example submission

up and load each spelled out all twenty fields of a submission that the protocol's package has as an example, up had a type of its own for a job's state, and the page had a closure that only called another.

--- a/packages/emulator/src/load.rs
+++ b/packages/emulator/src/load.rs
@@ -13,8 +13,9 @@
 use std::time::{Duration, Instant};
 
 use coralnotch_client::{fresh_id, Client, Counters, Final, Settings};
+use coralnotch_wire::example;
 use coralnotch_wire::http::{self, Client as Http};
-use coralnotch_wire::model::{JobState, Name, Rank, Shape, Spec};
+use coralnotch_wire::model::{JobState, Name, Spec};
 use fastrand::Rng;
 use futures_lite::future::or;
 use hdrhistogram::Histogram;
@@ -144,26 +145,14 @@
 
     fn job(&self, id: Name) -> Spec {
         Spec {
-            id,
             class: "demo".into(),
             team: "demo".into(),
-            shape: Shape::Array,
-            rank: Rank::Normal,
-            tasks: self.tasks as u32,
             cpus: 0.5,
-            gpus: 0.0,
             memory: 0.5,
             image: "load-image".into(),
             image_gb: 0.1,
-            types: None,
-            zone: None,
-            one_zone: false,
-            spread: false,
-            spot: true,
             estimate_s: self.expect_s,
-            checkpoint_s: 0.0,
-            save_s: 0.0,
-            deadline_s: None,
+            ..(*example::spec(&id, self.tasks as u32)).clone()
         }
     }
 }
--- a/packages/emulator/src/page.rs
+++ b/packages/emulator/src/page.rs
@@ -52,10 +52,8 @@
         reports.iter().map(|(n, r)| (*n, f(r))).collect()
     };
     let requests = plot("Users' requests a second", ("seconds since ready", "requests"), &each(&seconds))?;
-    let curve = |times: &dyn Fn(&Report) -> Vec<(f64, f64)>| each(times);
-    let accept = plot("From arrival to acceptance", ("share of jobs", "ms"), &curve(&|r| r.accept.curve.clone()))?;
-    let answer =
-        plot("From arrival to the final answer", ("share of jobs", "ms"), &curve(&|r| r.answer.curve.clone()))?;
+    let accept = plot("From arrival to acceptance", ("share of jobs", "ms"), &each(&|r| r.accept.curve.clone()))?;
+    let answer = plot("From arrival to the final answer", ("share of jobs", "ms"), &each(&|r| r.answer.curve.clone()))?;
     let wrong: String = reports
         .iter()
         .flat_map(|(n, r)| r.wrong.iter().map(move |w| format!("<li>{}: {}</li>", escaped(n), escaped(w))))
--- a/packages/emulator/src/up.rs
+++ b/packages/emulator/src/up.rs
@@ -10,8 +10,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use coralnotch_wire::example;
 use coralnotch_wire::http::{self, Client};
-use coralnotch_wire::model::{MachineType, Name, Rank, Shape, Spec};
+use coralnotch_wire::model::{JobState, MachineType, Name, Spec};
 use fastrand::Rng;
 use futures_lite::future::or;
 use serde::{Deserialize, Serialize};
@@ -277,38 +278,15 @@
     // the protocol's form; the time makes it new to the state service
     let id = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(1, |d| d.as_millis());
     Spec {
-        id: format!("j-{id}").into(),
         class: "demo".into(),
         team: "demo".into(),
-        shape: Shape::Array,
-        rank: Rank::Normal,
-        tasks: 12,
-        cpus: 1.0,
-        gpus: 0.0,
-        memory: 1.0,
         image: "demo-image".into(),
         image_gb: 0.5,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: true,
         estimate_s: 4.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
+        ..(*example::spec(&format!("j-{id}"), 12)).clone()
     }
 }
 
-#[derive(Deserialize, Serialize, PartialEq, Clone)]
-struct Stage {
-    stage: String,
-    #[serde(default)]
-    done: u32,
-    #[serde(default)]
-    running: u32,
-}
-
 /// Submits a job and prints each change until it is over.
 async fn follow(to: SocketAddr, spec: &Spec) -> Result<(), Error> {
     let (client, began, limit) = (Client::default(), Instant::now(), Duration::from_secs(5));
@@ -325,7 +303,7 @@
     loop {
         let got = client.send(to, "GET", &format!("/v2/runs/{}", spec.id), None, limit).await;
         if let Ok((200, body)) = got {
-            if let Ok(s) = http::decode::<Stage>(&body) {
+            if let Ok(s) = http::decode::<JobState>(&body) {
                 if shown.as_ref() != Some(&s) {
                     say(&format!("{}  {} is {}: {} running, {} done", since(), spec.id, s.stage, s.running, s.done));
                 }
