A leader's duties go before requests; decisions rest while requests wait

Change: two queues on the one thread (`turns`), duties first; requests measure how late a timer among them comes, and passes and plans rest for a multiple of that (`lag_rest`).

--- a/packages/policy/src/policy/mod.rs
+++ b/packages/policy/src/policy/mod.rs
@@ -174,6 +174,11 @@
     pass_share: f64 as f64, 0.01 ..= 1.0;
     /// Share of the processor that plans of the fleet may take.
     plan_share: f64 as f64, 0.01 ..= 1.0;
+    /// Passes and plans rest for so many times what requests wait for their
+    /// turn,
+    lag_rest: f64 as f64, 0.0 ..= 1000.0;
+    /// … at most this.
+    lag_rest_most: Duration as Duration, 0.0 ..= 3600.0;
     /// Machines that one pass looks at, for all tasks together: what is left
     /// of the queue is the next pass's.
     pass_looks: usize as usize, 1.0 ..= 1000000000.0;
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -258,7 +258,7 @@
             }
             c.tidy(now);
             let took = now.elapsed();
-            i.next_pass = Some(now + self.policy.pass_gap.max(took.div_f64(self.policy.pass_share)));
+            i.next_pass = Some(now + self.policy.pass_gap.max(self.rest(took, self.policy.pass_share)));
             self.telemetry.took(Timed::Pass, took);
         }
     }
@@ -467,7 +467,7 @@
                 plan
             };
             // with thousands of machines a plan takes its time too
-            due = due.max(now + now.elapsed().div_f64(self.policy.plan_share));
+            due = due.max(now + self.rest(now.elapsed(), self.policy.plan_share));
             self.carry_out(plan, a).await;
             self.to_place.wake();
             self.clear_rentals(a).await;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod store;
 pub mod submit;
 pub mod telemetry;
+pub mod turns;
 pub mod wait;
 pub mod watch;
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -17,6 +17,7 @@
 use crate::siblings::Peers;
 use crate::store::{Budget, Store};
 use crate::telemetry::Telemetry;
+use crate::turns::Lag;
 use crate::wait::Wake;
 
 /// The leader as seen in the store.
@@ -135,6 +136,8 @@
     pub intake: Intake,
     /// Counters and latencies.
     pub telemetry: Telemetry,
+    /// How long requests wait for their turn.
+    pub lag: Lag,
 }
 
 impl Node {
@@ -161,6 +164,7 @@
             to_lead: Wake::default(),
             intake: Intake::new(lookups, now),
             telemetry: Telemetry::default(),
+            lag: Lag::default(),
             config,
         }
     }
@@ -192,6 +196,15 @@
         }
     }
 
+    /// How long a pass or a plan that took so long makes the next one wait: each
+    /// keeps to its share of the processor, and when requests wait for their
+    /// turn, decisions wait for a multiple of that.  Workers that are not heard
+    /// lose what has been placed already.
+    pub fn rest(&self, took: Duration, share: f64) -> Duration {
+        let lag = self.lag.now().mul_f64(self.policy.lag_rest).min(self.policy.lag_rest_most);
+        took.div_f64(share).max(lag)
+    }
+
     /// The teams' limits.
     pub fn teams(&self) -> HashMap<Name, TeamLimit> {
         let team = |t: &crate::config::Team| {
--- a/src/run.rs
+++ b/src/run.rs
@@ -10,10 +10,11 @@
 use crate::http::{serve, ServerLimits};
 use crate::node::Node;
 use crate::policy::Policy;
+use crate::turns::Turns;
 
 /// Runs a controller on this thread.
 pub fn run(config: Config, policy: Policy) -> std::io::Result<()> {
-    let ex = Rc::new(smol::LocalExecutor::new());
+    let turns = Turns::default();
     // sockets are left for the state service, the cloud and siblings, and for
     // direct commands to workers
     let most = config.deployment.quota.fd_limit;
@@ -28,33 +29,37 @@
     };
     let (bind, peer_bind) = (config.bind, config.peer_bind);
     let node = Arc::new(Node::new(config, policy, Instant::now()));
-    smol::block_on(ex.run(async {
+    let requests = turns.requests.clone();
+    smol::block_on(turns.clone().run(async {
         let listener = TcpListener::bind(bind).await?;
         tracing::info!("{} listens on {bind}", node.config.name);
         let peers = TcpListener::bind(peer_bind).await?;
-        ex.spawn(node.clone().serve_peers(peers)).detach();
-        let (n, e) = (node.clone(), ex.clone());
-        ex.spawn(async move { n.peer_work(|w| e.spawn(w).detach()).await }).detach();
+        requests.spawn(node.clone().serve_peers(peers)).detach();
+        let (n, e) = (node.clone(), requests.clone());
+        requests.spawn(async move { n.peer_work(|w| e.spawn(w).detach()).await }).detach();
         let n = node.clone();
-        ex.spawn(async move { n.follow().await }).detach();
+        turns.duty(async move { n.follow().await });
         let n = node.clone();
-        ex.spawn(async move { n.pulse().await }).detach();
+        turns.duty(async move { n.pulse().await });
         let n = node.clone();
-        let watch = ex.spawn(async move { n.watch().await });
+        let watch = turns.duties.spawn(async move { n.watch().await });
         let n = node.clone();
-        ex.spawn(async move { n.stand().await }).detach();
+        turns.duty(async move { n.stand().await });
         let n = node.clone();
-        ex.spawn(async move { n.store_submissions().await }).detach();
+        turns.duty(async move { n.store_submissions().await });
         let n = node.clone();
-        ex.spawn(async move { n.confirm_open().await }).detach();
+        turns.duty(async move { n.confirm_open().await });
         let n = node.clone();
-        ex.spawn(async move { n.look_up().await }).detach();
-        ex.spawn(node.clone().types_at_start()).detach();
+        turns.duty(async move { n.look_up().await });
+        turns.duty(node.clone().types_at_start());
+        let n = node.clone();
+        requests.spawn(async move { n.lag.measure(n.policy.pass_gap * 2).await }).detach();
         let handler = Rc::new(move |r| node.clone().handle(r));
-        let served = async {
-            serve(ex.clone(), listener, limits, handler).await;
+        let serving = serve(requests.clone(), listener, limits, handler);
+        let served = requests.spawn(async move {
+            serving.await;
             "the listener failed"
-        };
+        });
         let why = futures_lite::future::or(watch, served).await;
         Err(std::io::Error::other(why))
     }))
--- /dev/null
+++ b/src/turns.rs
@@ -0,0 +1,141 @@
+//! Whose turn it is on the controller's one thread: duties before requests.
+//!
+//! All tasks in one queue mean that each step of a renewal waits for a round of
+//! every connection.  Seen with four thousand workers after a restart: rounds of
+//! a second or more, a lease lost that no fault explains, and the next leader
+//! begins with the same flood.  So a leader's duties have a queue of their own,
+//! which is empty before a request gets its turn.  Duties are few, and bound
+//! themselves (`pass_share`, `plan_share`, the store's budget); requests are as
+//! many as come.
+//!
+//! Must not know what is run.
+
+use std::future::Future;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use futures_lite::future::{or, yield_now};
+use smol::LocalExecutor;
+
+/// Requests in a row before the reactor is asked what else has come: an event
+/// for a duty waits no longer than these take.
+const REQUESTS_IN_A_ROW: usize = 48;
+
+/// How long a request waits for its turn: what a timer among them comes late.
+/// It tells of too much work from any cause, and needs no estimate of costs; what
+/// can wait goes by it.
+#[derive(Debug, Default)]
+pub struct Lag(AtomicU64);
+
+impl Lag {
+    /// How long requests have lately waited.
+    pub fn now(&self) -> Duration {
+        Duration::from_micros(self.0.load(Ordering::Relaxed))
+    }
+
+    /// A timer came so late.  What was seen before fades by half.
+    fn told(&self, late: Duration) {
+        let late = u64::try_from(late.as_micros()).unwrap_or(u64::MAX);
+        self.0.store(late.max(self.0.load(Ordering::Relaxed) / 2), Ordering::Relaxed);
+    }
+
+    /// Measures, as one of the requests, for as long as it is run.
+    pub async fn measure(&self, every: Duration) {
+        loop {
+            let due = Instant::now() + every;
+            smol::Timer::at(due).await;
+            self.told(due.elapsed());
+        }
+    }
+}
+
+/// The two queues.
+#[derive(Clone, Default)]
+pub struct Turns {
+    /// Leadership, the store, the queue, the fleet: what all requests hang on.
+    pub duties: Rc<LocalExecutor<'static>>,
+    /// Connections of users, workers and siblings.
+    pub requests: Rc<LocalExecutor<'static>>,
+}
+
+impl Turns {
+    /// Runs a duty of its own.
+    pub fn duty(&self, work: impl Future<Output = ()> + 'static) {
+        self.duties.spawn(work).detach();
+    }
+
+    /// Runs everything until `main` comes to its end.
+    pub async fn run<T>(&self, main: impl Future<Output = T>) -> T {
+        let rounds = async {
+            loop {
+                self.settle();
+                let mut some = false;
+                for _ in 0..REQUESTS_IN_A_ROW {
+                    if !self.requests.try_tick() {
+                        break;
+                    }
+                    some = true;
+                    self.settle();
+                }
+                if some {
+                    yield_now().await;
+                } else {
+                    or(self.duties.tick(), self.requests.tick()).await;
+                }
+            }
+        };
+        or(main, rounds).await
+    }
+
+    /// Runs duties until none is ready.
+    fn settle(&self) {
+        while self.duties.try_tick() {}
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::cell::Cell;
+
+    /// Seen with four thousand workers: reports waited behind decisions, and what
+    /// was decided before was lost with the leases of those not heard.
+    #[test]
+    fn a_wait_is_seen_at_once_and_fades() {
+        let (lag, s) = (Lag::default(), Duration::from_millis);
+        lag.told(s(800));
+        assert_eq!(lag.now(), s(800));
+        lag.told(s(2000));
+        assert_eq!(lag.now(), s(2000));
+        for _ in 0..12 {
+            lag.told(Duration::ZERO);
+        }
+        assert!(lag.now() < s(1));
+    }
+
+    /// However many requests are ready, a duty that becomes ready is next.
+    #[test]
+    fn a_duty_waits_for_no_more_than_one_request() {
+        let turns = Turns::default();
+        let (served, worst) = (Rc::new(Cell::new(0u32)), Rc::new(Cell::new(0u32)));
+        let (wake, woken) = smol::channel::unbounded::<u32>();
+        for _ in 0..5000 {
+            let (served, wake) = (served.clone(), wake.clone());
+            let request = async move {
+                served.set(served.get() + 1);
+                let _ = wake.try_send(served.get());
+            };
+            turns.requests.spawn(request).detach();
+        }
+        drop(wake);
+        let (s, w) = (served.clone(), worst.clone());
+        let duty = turns.duties.spawn(async move {
+            while let Ok(at) = woken.recv().await {
+                w.set(w.get().max(s.get() - at));
+            }
+        });
+        smol::block_on(turns.run(duty));
+        assert_eq!((served.get(), worst.get()), (5000, 0));
+    }
+}
--- a/tests/architecture.rs
+++ b/tests/architecture.rs
@@ -7,6 +7,7 @@
 /// The daemon's modules, from the ground up.
 const DAEMON: &[&str] = &[
     "wait",
+    "turns",
     "store",
     "telemetry",
     "authority",
