--- a/src/intake.rs
+++ b/src/intake.rs
@@ -47,7 +47,9 @@
             _ => {
                 let c = &self.telemetry.counters;
                 count(&c.requests);
-                let a = self.users(&r).await;
+                // apart, or every connection, most of them workers', would be as
+                // large as the longest way of a user's request
+                let a = Box::pin(self.users(&r)).await;
                 if a.status == 503 {
                     count(&c.refused);
                 }
@@ -617,3 +619,22 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::config::Config;
+    use crate::policy::Policy;
+    use coralnotch_policy::example::SETTINGS;
+
+    /// A controller holds thousands of connections, most of them workers', and
+    /// makes many anew: each was seven KiB, the longest way of a user's request.
+    #[test]
+    fn a_connection_that_waits_is_small() {
+        let config = Config::parse("test", SETTINGS).expect("settings of the tests");
+        let policy = Policy::new(&config).expect("the default policy");
+        let node = Arc::new(Node::new(config, policy, Instant::now()));
+        let r = Request { method: String::new(), path: String::new(), query: String::new(), body: Vec::new() };
+        assert!(std::mem::size_of_val(&node.handle(r)) <= 1024);
+    }
+}
