A pass goes through the machines once a job, not once a task

Change: where a job's tasks fit is found once, by tier; its own starts move machines between tiers, and the picks look at the best tier only.

--- a/packages/core/src/placement/pass.rs
+++ b/packages/core/src/placement/pass.rs
@@ -33,8 +33,15 @@
     latest: Option<(bool, Rank)>,
     /// Images that starts of this pass will fetch.
     fetches: Vec<(&'a Name, f64)>,
+    /// Its tier has changed for the job that asks now: `moved` has it.
+    moved: bool,
 }
 
+/// What comes before the picks: a machine where the job has failed is last, then
+/// the wait for the image where it matters, spot before ordinary for those that
+/// may, the wait in full, and a fetch that is under way.
+type Tier = (bool, u64, bool, u64, bool);
+
 /// A job that asks for room.
 pub(super) struct Ask<'a> {
     pub job: &'a Job,
@@ -68,6 +75,12 @@
     /// Waits for each image by slot, as far as worked out; and whether it is
     /// being fetched.
     waits: Vec<Vec<Option<(f64, bool)>>>,
+    /// Where tasks of the job that asks now fit, the best tier first.  Gone
+    /// through once for all of its tasks: while it asks, room only comes back
+    /// where it was taken on trial.
+    fits: Option<Vec<(Tier, usize)>>,
+    /// Of these, those whose tier its own starts have changed.
+    moved: Vec<(Tier, usize)>,
     /// Tasks that this pass stops.
     stopped: HashSet<(&'a Name, &'a Task)>,
     /// Machines looked at so far: what a pass costs.
@@ -110,7 +123,19 @@
                 }
             }
             let room = c.policy.most_tasks - (m.tasks.len() + m.exited.len());
-            slots.push(Slot { m, pool, zone, free, soon, stopping, lasting, room, latest, fetches: Vec::new() });
+            slots.push(Slot {
+                m,
+                pool,
+                zone,
+                free,
+                soon,
+                stopping,
+                lasting,
+                room,
+                latest,
+                fetches: Vec::new(),
+                moved: false,
+            });
         }
         let inf = Size { cpus: f64::INFINITY, gpus: f64::INFINITY, memory: f64::INFINITY };
         let least = queue.iter().map(|e| e.job.spec.size()).fold(inf, |a, b| Size {
@@ -134,6 +159,8 @@
             waiting: queue.iter().map(|e| e.job.spec.cpus * f64::from(e.count)).sum(),
             images: HashMap::new(),
             waits: Vec::new(),
+            fits: None,
+            moved: Vec::new(),
             stopped: HashSet::new(),
             looks: 0,
             hopeless: Vec::new(),
@@ -153,6 +180,10 @@
 
     pub fn ask(&mut self, job: &'a Job) -> Ask<'a> {
         self.prune();
+        self.fits = None;
+        for (_, i) in self.moved.drain(..) {
+            self.slots[i].moved = false;
+        }
         let spec = &job.spec;
         let next = self.images.len();
         let image = *self.images.entry(&spec.image).or_insert(next);
@@ -260,6 +291,33 @@
         Candidate { at, free: s.free, whole: s.m.size, speed: s.m.speed }
     }
 
+    /// The tier of a machine for a job's tasks.
+    fn tier(&mut self, ask: &Ask<'a>, slot: usize) -> Tier {
+        let grain = self.c.policy.fetch_grain_s;
+        // an image that takes a small part of the time within which the task should
+        // start is no reason for a dear machine
+        let patience = grain.max(self.c.wait_aim(ask.job).unwrap_or(0.0) * self.c.policy.image_share);
+        let m = self.slots[slot].m;
+        let failed = !ask.job.failed_on.is_empty() && ask.job.failed_on.contains(&m.name);
+        // where a fetch is needed anyway, a fresh one warms a machine more
+        let (wait, fetching) = self.image_wait(ask, slot);
+        let dear = ask.job.spec.spot && !m.spot;
+        (failed, (wait / patience).floor() as u64, dear, (wait / grain).ceil() as u64, fetching)
+    }
+
+    /// Where the job's tasks fit at all, whatever the zones, by tier.
+    fn fitting(&mut self, ask: &Ask<'a>) -> Vec<(Tier, usize)> {
+        self.looks += self.open.len();
+        let fits = |i: &usize| {
+            let s = &self.slots[*i];
+            s.room > 0 && ask.allowed[s.pool] && s.free.holds(&ask.size)
+        };
+        let all: Vec<usize> = self.open.iter().copied().filter(fits).collect();
+        let mut all: Vec<(Tier, usize)> = all.into_iter().map(|i| (self.tier(ask, i), i)).collect();
+        all.sort_unstable();
+        all
+    }
+
     /// The machine for one task: among the allowed ones those that start it
     /// soonest (the image is there), then spot before ordinary for jobs that
     /// may, and within these by the paper's switch.
@@ -270,39 +328,37 @@
         only: Option<usize>,
         later: &impl Fn() -> Vec<(Size, usize)>,
     ) -> Option<(usize, How)> {
-        let spec = &ask.job.spec;
-        let grain = self.c.policy.fetch_grain_s;
+        let fits = match self.fits.take() {
+            Some(f) => f,
+            None => self.fitting(ask),
+        };
         let mut picks = Picks::default();
-        // an image that takes a small part of the time within which the task should
-        // start is no reason for a dear machine
-        let patience = grain.max(self.c.wait_aim(ask.job).unwrap_or(0.0) * self.c.policy.image_share);
-        let mut tier = (true, u64::MAX, true, u64::MAX, true);
-        self.looks += self.open.len();
-        for at in 0..self.open.len() {
-            let i = self.open[at];
+        let mut best: Option<Tier> = None;
+        let service = ask.job.spec.shape == Shape::Service;
+        let moved = std::mem::take(&mut self.moved);
+        for (n, &(tier, i)) in moved.iter().chain(&fits).enumerate() {
+            if n >= moved.len() && best.is_some_and(|b| tier > b) {
+                break;
+            }
+            self.looks += 1;
             let s = &self.slots[i];
-            if s.room == 0
-                || !ask.allowed[s.pool]
+            if best.is_some_and(|b| tier > b)
+                || n >= moved.len() && s.moved
+                || s.room == 0
                 || only.is_some_and(|z| z != s.zone)
                 || !s.free.holds(&ask.size)
                 || !self.zone_ok(ask, zones, i)
             {
                 continue;
             }
-            let (spot, left) = (s.m.spot, if spec.shape == Shape::Service { s.lasting } else { s.free });
-            let failed = !ask.job.failed_on.is_empty() && ask.job.failed_on.contains(&s.m.name);
-            // where a fetch is needed anyway, a fresh one warms a machine more
-            let (wait, fetching) = self.image_wait(ask, i);
-            let dear = spec.spot && !spot;
-            let t = (failed, (wait / patience).floor() as u64, dear, (wait / grain).ceil() as u64, fetching);
-            if t < tier {
+            if best.is_none_or(|b| tier < b) {
                 picks.clear();
-                tier = t;
-            }
-            if t == tier {
-                picks.show(Candidate { free: left, ..self.candidate(i) }, &ask.size);
+                best = Some(tier);
             }
+            let left = if service { s.lasting } else { s.free };
+            picks.show(Candidate { free: left, ..self.candidate(i) }, &ask.size);
         }
+        (self.fits, self.moved) = (Some(fits), moved);
         let weather = self.weather();
         // the queue behind the head is looked at only where the dry run is
         let looks = (weather.variance >= weather.variance_threshold) == (weather.load >= weather.load_threshold);
@@ -367,6 +423,14 @@
             for w in &mut self.waits {
                 w[slot] = None;
             }
+            let tier = self.tier(ask, slot);
+            match self.moved.iter_mut().find(|m| m.1 == slot) {
+                Some(m) => m.0 = tier,
+                None => {
+                    self.slots[slot].moved = true;
+                    self.moved.push((tier, slot));
+                }
+            }
         }
     }
 
