A worker that is sent on is heard with its zone; the fleet is counted in one place

Cause: read again. A sibling that sent workers on unread no longer noted those of other zones, which keep a controller from taking itself for cut off with its own; machines were counted twice a plan; one comment put siblings among the requests.

Change: the zone alone is read before a worker is sent on (`Origin`), and noted by the one step that both ways share; `Cluster::here`; one `impl Fleet`.

--- a/packages/core/src/cluster/mod.rs
+++ b/packages/core/src/cluster/mod.rs
@@ -120,6 +120,11 @@
         }
     }
 
+    /// Machines that there are, up or not.
+    pub fn here(&self) -> usize {
+        self.machines.values().filter(|m| m.gone.is_none()).count()
+    }
+
     /// Whether any team has a limit or a guarantee.
     pub fn has_limits(&self) -> bool {
         let any = |s: &Size| s.cpus > 0.0 || s.gpus > 0.0;
--- a/packages/core/src/cluster/rented.rs
+++ b/packages/core/src/cluster/rented.rs
@@ -12,7 +12,7 @@
 pub type Pool = (Name, Name, bool);
 
 /// How many times what it begins with a leader may learn to hear.  A calm fleet
-/// tells nothing of the hour after a restart, when all workers come at once: a
+/// tells nothing of the seconds after a restart, when all workers come at once: a
 /// leader that had grown to all that it heard lost its tasks then.
 const MOST_LEARNED: f64 = 1.15;
 
@@ -86,9 +86,7 @@
         let over = |r: &(Name, Option<Instant>)| r.1.is_some_and(|t| now.duration_since(t) > kept);
         self.records.iter().filter(|(_, l)| l.iter().all(over)).map(|(k, _)| k.clone()).take(most).collect()
     }
-}
 
-impl Fleet {
     /// Learns how many machines the leader can listen to, from how long requests
     /// wait for their turn: fewer, down to half of what the policy begins with,
     /// while they wait for longer than `lag_most`; more, while a fleet of that size
--- a/packages/core/src/fleet.rs
+++ b/packages/core/src/fleet.rs
@@ -548,7 +548,7 @@
         let mut left = policy.rentals_at_once;
         // a fleet that this controller cannot listen to is worth less than a
         // smaller one: its workers run into their leases, and users find nobody
-        let here = self.machines.values().filter(|m| m.gone.is_none()).count();
+        let here = self.here();
         let asked: usize = self.fleet.open.iter().map(|r| r.count as usize).sum();
         let mut room = self.fleet.most(&policy).saturating_sub(here + asked).min(u32::MAX as usize) as u32;
         for ((kind, zone, spot), count) in new {
--- a/packages/wire/src/workers.rs
+++ b/packages/wire/src/workers.rs
@@ -65,6 +65,15 @@
     Unknown,
 }
 
+/// Where a report comes from: as much of it as a controller reads that sends its
+/// worker on.
+#[derive(Debug, Deserialize)]
+pub struct Origin {
+    /// Zone.
+    #[serde(rename = "bay")]
+    pub zone: Name,
+}
+
 /// A report.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Report {
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -21,7 +21,7 @@
 use crate::store::{key, read_value, Error, Outcome, Txn, Write};
 use crate::telemetry::{count, Timed};
 use crate::wait::timed;
-use crate::workers::{Answer, Command, Report, Reported, TaskState};
+use crate::workers::{Answer, Command, Origin, Report, Reported, TaskState};
 
 #[derive(Serialize)]
 struct Redirect<'a> {
@@ -120,10 +120,19 @@
         }
     }
 
-    /// Sends a worker to the leader without reading its report: after a change of
+    /// A worker of a zone has reported here.
+    fn hears(&self, i: &mut Inner, zone: &str, now: Instant) {
+        i.heard = Some(now);
+        if *zone != *self.config.zone {
+            i.foreign = Some(now);
+        }
+    }
+
+    /// Sends a worker to the leader without reading all of its report: after a change of
     /// leader all of them come here first.  Where the state service does not
     /// serve this controller it may have to keep leases, and reads.
-    fn sends_on(&self) -> Option<Response> {
+    fn sends_on(&self, body: &[u8]) -> Option<Response> {
+        let origin: Origin = http::decode(body).ok()?;
         let mut i = self.lock();
         let now = Instant::now();
         if i.authority.is_some() || i.cluster.is_some() || self.store.failing() {
@@ -132,12 +141,12 @@
         let leader = i.leader.as_ref().filter(|l| l.record.name != self.config.name)?;
         let answer = Response::new(421, &Redirect { answer_to: Some(&leader.record.name) });
         self.beat(&mut i, now);
-        i.heard = Some(now);
+        self.hears(&mut i, &origin.zone, now);
         Some(answer)
     }
 
     async fn hello(&self, body: &[u8]) -> Response {
-        if let Some(elsewhere) = self.sends_on() {
+        if let Some(elsewhere) = self.sends_on(body) {
             return elsewhere;
         }
         let report: Report = match http::decode(body) {
@@ -180,10 +189,7 @@
         let mut i = self.lock();
         let now = Instant::now();
         self.beat(&mut i, now);
-        i.heard = Some(now);
-        if *report.zone != *self.config.zone {
-            i.foreign = Some(now);
-        }
+        self.hears(&mut i, &report.zone, now);
         if !i.acts(now) {
             // an outage of the state service, by the siblings' word: nobody
             // can lead, and our lease outlives it.  The workers' leases are
@@ -656,4 +662,22 @@
         let r = Request { method: String::new(), path: String::new(), query: String::new(), body: Vec::new() };
         assert!(std::mem::size_of_val(&node.handle(r)) <= 1024);
     }
+
+    /// A worker that is sent on tells all the same that other zones reach this
+    /// controller: without that it could take itself for cut off with its zone.
+    #[test]
+    fn a_worker_that_is_sent_on_was_heard() {
+        let config = Config::parse("test", SETTINGS).expect("settings of the tests");
+        let policy = Policy::new(&config).expect("the default policy");
+        let node = Node::new(config, policy, Instant::now());
+        let record = crate::authority::LeaderRecord { name: "another".into(), term: 1 };
+        node.lock().leader = Some(crate::node::LeaderSeen { record, stamp: 1 });
+        let from = |zone: &str| http::encode(&std::collections::BTreeMap::from([("bay", zone)]));
+        let own = node.config.zone.clone();
+        assert_eq!(node.sends_on(&from(&own)).map(|r| r.status), Some(421));
+        assert!(node.lock().heard.is_some() && node.lock().foreign.is_none());
+        assert_eq!(node.sends_on(&from("elsewhere")).map(|r| r.status), Some(421));
+        assert!(node.lock().foreign.is_some());
+        assert!(node.sends_on(&[0x90]).is_none(), "what is no report is refused as before");
+    }
 }
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -463,7 +463,7 @@
                 }
                 let wants = std::mem::take(&mut i.wants);
                 let plan = i.cluster.as_mut().map(|c| {
-                    let here = c.machines.values().filter(|m| m.gone.is_none()).count();
+                    let here = c.here();
                     c.fleet.listen(self.lag.now(), here, &self.policy, now);
                     c.plan(&wants, now)
                 });
--- a/src/turns.rs
+++ b/src/turns.rs
@@ -53,9 +53,10 @@
 /// The two queues.
 #[derive(Clone, Default)]
 pub struct Turns {
-    /// Leadership, the store, the queue, the fleet: what all requests hang on.
+    /// Leadership, the store, the queue, the fleet, siblings: what all requests
+    /// hang on.
     pub duties: Rc<LocalExecutor<'static>>,
-    /// Connections of users, workers and siblings.
+    /// Connections of users and workers.
     pub requests: Rc<LocalExecutor<'static>>,
 }
 
