Jobs that wait for others: core, gate, submissions, cascade, lowered limits

Cause: users chain jobs under one deadline, and the version that runs must not misread them while controllers are replaced one by one. Core gains the slices dependency (needs, release, cascade, inherited urgency) and gate (a feature is on once all controllers have it).

--- a/benches/history/main.rs
+++ b/benches/history/main.rs
@@ -99,6 +99,7 @@
         checkpoint_s: 20.0,
         save_s: 6.0,
         deadline_s: Some(250.0),
+        needs: Vec::new(),
     }
 }
 
--- a/packages/client/examples/nightly.rs
+++ b/packages/client/examples/nightly.rs
@@ -32,6 +32,7 @@
         checkpoint_s: 0.0,
         save_s: 0.0,
         deadline_s: None,
+        needs: Vec::new(),
     })
 }
 
--- a/packages/core/src/cluster/job.rs
+++ b/packages/core/src/cluster/job.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use crate::dependency::Urgency;
 use crate::model::*;
 
 /// What a placed task is doing, as far as its machine has said.
@@ -109,6 +110,8 @@
     pub known: Instant,
     /// It lies within its team's guarantee, as of the last pass.
     pub guaranteed: bool,
+    /// How urgent it is, for itself and for those that wait for it.
+    pub urgency: Urgency,
     /// Why it waits, for people.
     pub why: &'static str,
 }
@@ -116,6 +119,7 @@
 impl Job {
     /// A job nothing of which has run.
     pub fn new(spec: Arc<Spec>, stamp: u64, fate: Option<Fate>, now: Instant) -> Job {
+        let urgency = Urgency::own(&spec, now);
         let todo = if fate.is_some() { Ranges::default() } else { Ranges::span(0, spec.tasks) };
         Job {
             spec,
@@ -132,6 +136,7 @@
             wait_until: None,
             known: now,
             guaranteed: false,
+            urgency,
             why: "",
         }
     }
@@ -175,8 +180,11 @@
     /// A job's turn.  Work gives way only to an earlier turn: with one order for
     /// the queue and for giving way, nothing is stopped for work that is then
     /// stopped for it.
+    ///
+    /// The rank is the highest of its own and of those that wait for it.
     pub fn turn(&self) -> (bool, Rank) {
-        (!self.guaranteed && self.spec.rank != Rank::Production, self.spec.rank)
+        let rank = self.urgency.rank;
+        (!self.guaranteed && rank != Rank::Production, rank)
     }
 
     /// Puts a task back into the queue if nothing keeps it from there.
--- a/packages/core/src/cluster/mod.rs
+++ b/packages/core/src/cluster/mod.rs
@@ -19,6 +19,7 @@
 pub use page::*;
 pub use rented::*;
 
+use crate::dependency::{Dependency, Held, Need, Urgency};
 use crate::model::*;
 use crate::policy::Policy;
 
@@ -28,8 +29,11 @@
     /// The term; it makes tokens, attempts and charters unique.
     pub term: u64,
     next_attempt: u64,
-    /// Jobs that are not over, or still have tasks somewhere.
+    /// Jobs that are not over, or still have tasks somewhere; those that wait
+    /// for others are not among them yet.
     pub jobs: Table<Job>,
+    /// Jobs that wait for others.
+    pub dependency: Dependency,
     /// Machines.
     pub machines: BTreeMap<Name, Machine>,
     /// Machine types.
@@ -98,6 +102,7 @@
             term,
             next_attempt: 0,
             jobs: Table::default(),
+            dependency: Dependency::default(),
             machines: BTreeMap::new(),
             types: BTreeMap::new(),
             policy,
@@ -143,10 +148,51 @@
         (self.term << TERM_SHIFT) + self.next_attempt
     }
 
-    /// A job as the store has it.
+    /// A job as the store has it.  One that needs others enters the queue only
+    /// when the store has their ends.
     pub fn add_job(&mut self, spec: Arc<Spec>, stamp: u64, fate: Option<Fate>, now: Instant) {
-        if !self.jobs.contains_key(&spec.id) {
-            self.jobs.insert(spec.id.clone(), Job::new(spec, stamp, fate, now));
+        if self.jobs.contains_key(&spec.id) {
+            return;
+        }
+        if fate.is_none() && !spec.needs.is_empty() {
+            let look = |n: &Name| match self.jobs.get(n) {
+                Some(j) => j.fate.map_or(Need::Open, Need::Over),
+                None => Need::Unknown,
+            };
+            if self.dependency.hold(&spec, stamp, now, look) {
+                self.urgencies();
+                return;
+            }
+        }
+        self.add_begun(spec, stamp, fate, now);
+    }
+
+    /// A job that may start, or has: a start on record, or a task that a worker
+    /// reports, shows that all it needs was done before.
+    pub fn add_begun(&mut self, spec: Arc<Spec>, stamp: u64, fate: Option<Fate>, now: Instant) {
+        if self.jobs.contains_key(&spec.id) {
+            return;
+        }
+        self.dependency.started(&spec.id);
+        self.dependency.appears(&spec.id);
+        let mut job = Job::new(spec, stamp, fate, now);
+        job.urgency = self.dependency.urgency(&job.spec.id, Urgency::own(&job.spec, now));
+        self.jobs.insert(job.spec.id.clone(), job);
+        self.urgencies();
+        self.stir = true;
+    }
+
+    /// A job that waited for others enters the queue, with the arrival that it
+    /// has had all the time.
+    fn release(&mut self, h: Held) {
+        self.add_begun(h.spec, h.stamp, None, h.known);
+    }
+
+    /// Jobs take over what those that need them make of them.
+    fn urgencies(&mut self) {
+        for id in self.dependency.changes() {
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            job.urgency = self.dependency.urgency(&id, Urgency::own(&job.spec, job.known));
             self.stir = true;
         }
     }
@@ -286,6 +332,10 @@
 
     /// A job's end, as the store has it.
     pub fn set_fate(&mut self, id: &str, fate: Fate, now: Instant) {
+        for h in self.dependency.ended(id, fate) {
+            self.release(h);
+        }
+        self.urgencies();
         let Some(job) = self.jobs.get_mut(id) else { return };
         if job.fate.is_some() {
             return;
--- a/packages/core/src/key.rs
+++ b/packages/core/src/key.rs
@@ -12,6 +12,10 @@
 pub const LEADER: &str = "c2/w/leader";
 /// The last term.
 pub const TERM: &str = "c2/p/term";
+/// What all controllers have, and what is therefore on.
+pub const GATES: &str = "c2/w/gates";
+/// What each controller has, on its lease, until all is on.
+pub const MEMBER: &str = "c2/p/member/";
 /// Machine types as last seen.
 pub const TYPES: &str = "c2/w/types";
 /// Starts and completed tasks.
--- a/packages/core/src/ledger.rs
+++ b/packages/core/src/ledger.rs
@@ -15,6 +15,7 @@
 
 use lru::LruCache;
 
+use crate::dependency::Edges;
 use crate::key;
 use crate::model::*;
 use coralnotch_wire::state::{read_value, Item};
@@ -54,6 +55,8 @@
 #[derive(Debug)]
 pub struct Ledger {
     open: HashMap<Name, Open>,
+    /// Which unfinished jobs name others as needed.
+    edges: Edges,
     ended: LruCache<Name, Ended>,
     /// Records up to this revision come by the sweep or the watch, with their
     /// ends, and in no other way.
@@ -64,7 +67,7 @@
     /// An empty ledger that keeps the last `most` ended jobs.
     pub fn new(most: usize) -> Ledger {
         let most = NonZeroUsize::new(most).unwrap_or(NonZeroUsize::MIN);
-        Ledger { open: HashMap::new(), ended: LruCache::new(most), floor: 0 }
+        Ledger { open: HashMap::new(), edges: Edges::default(), ended: LruCache::new(most), floor: 0 }
     }
 
     /// How many unfinished jobs there are.
@@ -100,6 +103,12 @@
         self.ended.peek(id).map(|e| e.fate)
     }
 
+    /// Unfinished jobs that need a job, directly or through others; the nearest
+    /// first, no more than so many.
+    pub fn after(&self, id: &str, most: usize) -> Vec<Name> {
+        self.edges.after(id, most)
+    }
+
     /// How many tasks a job has, if it is known here.
     pub fn tasks(&self, id: &str) -> Option<u32> {
         self.open.get(id).map(|o| &o.spec).or_else(|| self.ended.peek(id).map(|e| &e.spec)).map(|s| s.tasks)
@@ -116,6 +125,7 @@
         if self.open.contains_key(&spec.id) || self.ended.contains(&spec.id) {
             return false;
         }
+        self.edges.add(&spec.id, &spec.needs);
         self.open.insert(spec.id.clone(), Open { spec, stamp });
         true
     }
@@ -131,13 +141,16 @@
     /// A job's end, as the store has it; true if the job was unfinished here.
     pub fn ends(&mut self, id: &str, fate: Fate) -> bool {
         let Some(o) = self.open.remove(id) else { return false };
+        self.edges.remove(id, &o.spec.needs);
         self.remember(Ended { spec: o.spec, stamp: o.stamp, fate });
         true
     }
 
     /// An ended job that was read from the store.
     pub fn remember(&mut self, e: Ended) {
-        self.open.remove(&e.spec.id);
+        if self.open.remove(&e.spec.id).is_some() {
+            self.edges.remove(&e.spec.id, &e.spec.needs);
+        }
         self.ended.put(e.spec.id.clone(), e);
     }
 }
--- a/packages/core/src/lib.rs
+++ b/packages/core/src/lib.rs
@@ -3,7 +3,9 @@
 
 pub mod cluster;
 pub mod commit;
+pub mod dependency;
 pub mod fleet;
+pub mod gate;
 pub mod key;
 pub mod ledger;
 pub mod lookup;
--- a/packages/core/src/placement/mod.rs
+++ b/packages/core/src/placement/mod.rs
@@ -435,7 +435,7 @@
     if of.turn() <= to.turn() {
         return false;
     }
-    if of.spec.rank > to.spec.rank {
+    if of.urgency.rank > to.urgency.rank {
         return true;
     }
     let team = used.get(&of.spec.team).copied().unwrap_or_default();
--- a/packages/core/src/placement/pass.rs
+++ b/packages/core/src/placement/pass.rs
@@ -469,7 +469,7 @@
         // an image to fetch delays the start: prefer where it is
         let image = self.image_wait(ask, slot).0;
         let s = &self.slots[slot];
-        let mut victims: Vec<(f64, &'a Task, &'a Place)> = Vec::new();
+        let mut victims: Vec<(f64, &'a Task, &'a Place, Rank)> = Vec::new();
         for (t, p) in &s.m.tasks {
             let stays = !p.present()
                 || p.halt.is_some()
@@ -480,12 +480,13 @@
             if of.is_some_and(|of| gives_way(ask.job, of, &self.c.teams, &self.used)) {
                 // a gang goes as a whole
                 let mates = of.map_or(1, |of| if of.spec.shape == Shape::Gang { of.places.len() } else { 1 });
-                victims.push((loss(p, self.now) * mates.max(1) as f64, t, p));
+                let rank = of.map_or(p.spec.rank, |of| of.urgency.rank);
+                victims.push((loss(p, self.now) * mates.max(1) as f64, t, p, rank));
             }
         }
-        victims.sort_by(|a, b| b.2.spec.rank.cmp(&a.2.spec.rank).then(a.0.total_cmp(&b.0)));
+        victims.sort_by(|a, b| b.3.cmp(&a.3).then(a.0.total_cmp(&b.0)));
         let (mut room, mut cost, mut list) = (s.soon, 1e-3 + image * ask.size.cpus, Vec::new());
-        for (c, t, p) in victims {
+        for (c, t, p, _) in victims {
             if room.holds(&ask.size) {
                 break;
             }
--- a/packages/core/src/sim/rules.rs
+++ b/packages/core/src/sim/rules.rs
@@ -40,6 +40,9 @@
         if self.cancelled.get(&task.job).is_some_and(|t| self.now - t > 60_000) {
             broken.push(format!("ran_cancelled: {task} starts"));
         }
+        if let Some(n) = spec.needs.iter().find(|n| self.store.fate(n) != Some(Fate::Done)) {
+            broken.push(format!("too_early: {task} starts before {n} is done"));
+        }
         self.broken.extend(broken);
     }
 
@@ -63,6 +66,20 @@
                 }
             }
         }
+        // a job that needs a cancelled one, from when both were known to users
+        let mut since: HashMap<&Name, Ms> = HashMap::new();
+        for (id, (spec, _)) in &self.jobs {
+            let told = |n: &Name| match self.store.fate(n) {
+                Some(Fate::Cancelled) => since.get(n).or(self.cancelled.get(n)).copied(),
+                Some(Fate::Done) => None,
+                None => since.get(n).copied(),
+            };
+            let Some(t) = spec.needs.iter().filter_map(told).min().map(|t| t.max(self.came[id])) else { continue };
+            if self.store.fate(id).is_none() && self.now - t > 60_000 {
+                self.broken.push(format!("orphaned: {id}, whose needs {:?} were cancelled at {t}", spec.needs));
+            }
+            since.insert(id, t);
+        }
         for (id, (spec, _)) in &self.jobs {
             if self.store.fate(id) == Some(Fate::Done) {
                 let all = (0..spec.tasks).all(|index| self.finished.contains_key(&Task { job: id.clone(), index }));
--- a/packages/core/src/workers.rs
+++ b/packages/core/src/workers.rs
@@ -268,6 +268,11 @@
     }
 
     fn reported(&mut self, r: &Report, t: &Reported, now: Instant) {
+        if let Some(h) = self.dependency.started(&t.task.job) {
+            // a command leaves only after its start is stored, and that only
+            // after the ends of all that the job needs
+            self.add_begun(h.spec, h.stamp, None, h.known);
+        }
         let over = self.jobs.get(&t.task.job).is_none_or(|j| j.fate.is_some() || j.done.contains(t.task.index));
         let finishing = self.jobs.get(&t.task.job).is_some_and(|j| j.finishing.contains(t.task.index));
         let cache = self.types.get(&r.kind).map_or(f64::INFINITY, |x| x.cache_gb);
--- a/packages/policy/src/config.rs
+++ b/packages/policy/src/config.rs
@@ -97,6 +97,36 @@
     pub value_kb: f64,
     /// Puts and deletes a transaction.
     pub txn_ops: usize,
+    /// The limits that come later and without notice, as far as they differ.
+    #[serde(default)]
+    pub next: Option<NextState>,
+}
+
+/// Limits that the state service will have from some moment on.
+#[derive(Debug, Clone, Default, Deserialize)]
+pub struct NextState {
+    /// Requests a second.
+    pub rps: Option<f64>,
+    /// Puts and deletes a second.
+    pub write_rps: Option<f64>,
+    /// KiB a value.
+    pub value_kb: Option<f64>,
+    /// Puts and deletes a transaction.
+    pub txn_ops: Option<usize>,
+}
+
+impl State {
+    /// What is within the limits now and later: nobody says when they change.
+    pub fn least(&self) -> State {
+        let next = self.next.clone().unwrap_or_default();
+        State {
+            rps: self.rps.min(next.rps.unwrap_or(self.rps)),
+            write_rps: self.write_rps.min(next.write_rps.unwrap_or(self.write_rps)),
+            value_kb: self.value_kb.min(next.value_kb.unwrap_or(self.value_kb)),
+            txn_ops: self.txn_ops.min(next.txn_ops.unwrap_or(self.txn_ops)),
+            next: None,
+        }
+    }
 }
 
 /// Limits of the cloud's interface.
@@ -202,16 +232,16 @@
                 return err("siblings.host_name", "a sibling has this controller's own name");
             }
         }
-        let w = &d.workers;
+        let (w, least) = (&d.workers, d.state.least());
         for (key, v) in [
             ("deployment.workers.report_s", w.report_s),
             ("deployment.workers.lease_s", w.lease_s),
             ("deployment.workers.gang_wait_s", w.gang_wait_s),
             ("deployment.workers.gang_peer_s", w.gang_peer_s),
             ("deployment.workers.cancel_s", w.cancel_s),
-            ("deployment.state.rps", d.state.rps),
-            ("deployment.state.write_rps", d.state.write_rps),
-            ("deployment.state.value_kb", d.state.value_kb),
+            ("deployment.state.rps", least.rps),
+            ("deployment.state.write_rps", least.write_rps),
+            ("deployment.state.value_kb", least.value_kb),
             ("deployment.cloud.rps", d.cloud.rps),
             ("deployment.quota.cores", d.quota.cores),
             ("deployment.quota.ram_mb", d.quota.ram_mb),
@@ -226,7 +256,7 @@
         if w.lease_s < 2.0 * w.report_s {
             return err("deployment.workers.lease_s", "must be at least twice report_s");
         }
-        if d.state.txn_ops < 4 {
+        if least.txn_ops < 4 {
             return err("deployment.state.txn_ops", "must be at least 4");
         }
         for t in &d.teams {
--- a/packages/wire/src/example.rs
+++ b/packages/wire/src/example.rs
@@ -27,5 +27,6 @@
         checkpoint_s: 0.0,
         save_s: 0.0,
         deadline_s: None,
+        needs: Vec::new(),
     })
 }
--- /dev/null
+++ b/src/gates.rs
@@ -0,0 +1,120 @@
+//! What all controllers have, and what is on: each leaves a record and tells its
+//! siblings, and the leader opens the gate.  Whether all have it is decided in
+//! core; here it is only shown, heard and stored.
+
+use std::time::Instant;
+
+use coralnotch_core::gate::{Gates, Member, Shown, CHAINS, KNOWN};
+
+use crate::authority::Authority;
+use crate::node::Node;
+use crate::siblings::lock;
+use crate::store::{key, read_value, Error, Outcome, Txn, Write};
+
+/// This program's version.
+pub(crate) const VERSION: &str = env!("CARGO_PKG_VERSION");
+
+/// The features of this version, for the wire.
+pub(crate) fn known() -> Vec<String> {
+    KNOWN.iter().map(|k| (*k).to_owned()).collect()
+}
+
+impl Node {
+    /// A sibling has told what it has.
+    pub(crate) fn shows(&self, name: &str, knows: Vec<String>, version: String, at: Instant) {
+        let mut roster = lock(&self.peers.roster);
+        // who asks does not say its version; its answers do
+        let version = match roster.of(name) {
+            Some(s) if version.is_empty() && !knows.is_empty() => s.version.clone(),
+            _ => version,
+        };
+        roster.shown(name, Shown { knows, version, at });
+    }
+
+    /// The stored record of what is on, as the store shows it.
+    pub(crate) fn gates_are(&self, g: &Gates) {
+        let mut i = self.lock();
+        if !i.chains && g.on.iter().any(|f| f == CHAINS) {
+            tracing::info!("all controllers have {CHAINS}: on since term {}", g.term);
+            i.chains = true;
+        }
+    }
+
+    /// Leaves a record of what this controller has, for as long as it runs and
+    /// not all is on.  It hangs on a lease of its own: one that was replaced by
+    /// an earlier version vouches for nothing.
+    pub async fn show(&self) {
+        let mut hold = None;
+        // what is on is known only once the store has been read
+        while !self.lock().synced {
+            smol::Timer::after(self.policy.renew / 8).await;
+        }
+        while !self.lock().chains {
+            let done = async {
+                match hold {
+                    Some(h) => self.store.renew(h, self.policy.ttl / 2).await.map(|()| h),
+                    None => {
+                        let h = self.store.grant(self.policy.ttl).await?;
+                        let member = Member { knows: known(), version: VERSION.to_owned() };
+                        let path = format!("{}{}", key::MEMBER, self.config.name);
+                        let txn = Txn { guards: vec![], writes: vec![Write::set_on(path, &member, h)] };
+                        self.store.txn(&txn).await.map(|_| h)
+                    }
+                }
+            };
+            let done: Result<u64, Error> = done.await;
+            hold = match done {
+                Ok(h) => Some(h),
+                Err(Error::NoLease) => None,
+                Err(_) => hold,
+            };
+            smol::Timer::after(self.policy.ttl / 4).await;
+        }
+    }
+
+    /// Opens the gate once every controller of the settings is known to have
+    /// what is behind it, by its own word or by its record.
+    pub(crate) async fn gate(&self, a: Authority) -> &'static str {
+        while !self.lock().chains {
+            match self.store.list(key::MEMBER).await {
+                Ok(members) => {
+                    // it was there when the list was made; how old its own word
+                    // is, only that says
+                    let now = Instant::now();
+                    for m in members {
+                        let name = m.path.strip_prefix(key::MEMBER).unwrap_or_default().to_owned();
+                        if let Some(r) = read_value::<Member>(&m.path, m.data) {
+                            self.vouches(&name, r, now);
+                        }
+                    }
+                }
+                Err(e) => tracing::debug!("records of members: {e}"),
+            }
+            let names = self.config.siblings.iter().map(|s| s.name.as_str());
+            let all = lock(&self.peers.roster).all_have(names, CHAINS, self.policy.ttl, Instant::now());
+            if all {
+                let gates = Gates { on: known(), term: a.term };
+                let mut txn = Txn { guards: vec![], writes: vec![Write::set(key::GATES, &gates)] };
+                txn.guard(key::LEADER, a.stamp);
+                txn.guard(key::GATES, 0);
+                match self.store.txn(&txn).await {
+                    Ok(Outcome::Done(_)) => self.gates_are(&gates),
+                    Ok(Outcome::Conflict(keys)) => tracing::info!("the gate is in conflict over {keys:?}"),
+                    Err(e) => tracing::debug!("the gate: {e}"),
+                }
+            }
+            smol::Timer::after(self.policy.renew / 2).await;
+        }
+        std::future::pending().await
+    }
+
+    /// A record of a controller was found.  It is no word of its own: one that
+    /// has answered as an earlier version since the record was made is one.
+    fn vouches(&self, name: &str, m: Member, now: Instant) {
+        let mut roster = lock(&self.peers.roster);
+        let contradicts = |s: &Shown| s.knows.is_empty() && now.saturating_duration_since(s.at) <= self.policy.ttl * 2;
+        if !roster.of(name).is_some_and(contradicts) {
+            roster.shown(name, Shown { knows: m.knows, version: m.version, at: now });
+        }
+    }
+}
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -313,9 +313,13 @@
                 None => Response::refuse(503, "the state service does not answer"),
             };
         }
+        let doomed = match self.judge_needs(&spec).await {
+            Ok(doomed) => doomed,
+            Err(r) => return r,
+        };
         let id = spec.id.clone();
         let (reply, answer) = smol::channel::bounded(1);
-        if self.intake.submissions.0.try_send((Arc::new(spec), reply)).is_err() {
+        if self.intake.submissions.0.try_send((Arc::new(spec), doomed, reply)).is_err() {
             return Response::refuse(503, "too many submissions");
         }
         match timed(SUBMIT_LIMIT, answer.recv()).await {
@@ -328,13 +332,95 @@
         }
     }
 
+    /// Whether a job that needs others can be taken, and whether one of these is
+    /// known to be cancelled, so that it ends with it.  Otherwise the answer.
+    /// "Never accepted" is the store's word alone: what is known here may lag.
+    async fn judge_needs(&self, spec: &Spec) -> Result<bool, Response> {
+        if spec.needs.is_empty() {
+            return Ok(false);
+        }
+        let (mut unknown, mut doomed, mut wrong) = (Vec::new(), false, None);
+        {
+            let mut i = self.lock();
+            if !i.chains {
+                return Err(Response::refuse(503, "not every controller knows of jobs that wait for others yet"));
+            }
+            for n in &spec.needs {
+                let needed = match i.ledger.standing(n) {
+                    Standing::Open(o) => o.spec,
+                    Standing::Ended(e) => {
+                        doomed |= e.fate == Fate::Cancelled;
+                        e.spec
+                    }
+                    Standing::Unknown => {
+                        unknown.push(n.clone());
+                        continue;
+                    }
+                };
+                if needed.shape == Shape::Service {
+                    wrong = Some("needs a service, which is never done");
+                }
+            }
+        }
+        if spec.needs.contains(&spec.id) {
+            wrong = Some("needs itself");
+        }
+        if wrong.is_none() && !unknown.is_empty() {
+            wrong = match timed(QUERY_LIMIT, self.exist(&unknown)).await.flatten() {
+                Some(wrong) => wrong,
+                None => return Err(Response::refuse(503, "the state service does not answer")),
+            };
+        }
+        let Some(why) = wrong else { return Ok(doomed) };
+        // a repeat is recognised before anything is said against it
+        Err(match self.find(&spec.id).await {
+            Some(Found::Never) => Response::refuse(422, why),
+            Some(found) => self.told(&spec.id, found).await,
+            None => Response::refuse(503, "the state service does not answer"),
+        })
+    }
+
+    /// What speaks against needing these jobs, which are not known here; many in
+    /// one comparison.  `None` if that cannot be told now.
+    async fn exist(&self, ids: &[Name]) -> Option<Option<&'static str>> {
+        for some in ids.chunks((self.store.most.guards / 2).max(1)) {
+            let mut asked = Lookup::new(some.iter());
+            while let Some(txn) = asked.txn() {
+                self.lookup_pause(1.0).await;
+                match self.store.txn(&txn).await {
+                    Ok(Outcome::Done(_)) => asked.as_guarded(),
+                    Ok(Outcome::Conflict(keys)) if asked.conflict(&keys) => {}
+                    Ok(Outcome::Conflict(_)) | Err(_) => return None,
+                }
+            }
+            for id in some {
+                match asked.found(id) {
+                    Some(Found::Never) => return Some(Some("needs a job that was never accepted")),
+                    Some(_) => {
+                        // unfinished, and the watch has not shown it yet
+                        self.lookup_pause(1.0).await;
+                        let path = format!("{}{id}", key::JOB);
+                        let item = self.store.get(&path).await.ok()??;
+                        if read_value::<Spec>(&path, item.data)?.shape == Shape::Service {
+                            return Some(Some("needs a service, which is never done"));
+                        }
+                    }
+                    None => {}
+                }
+            }
+        }
+        Some(None)
+    }
+
     /// Stores submissions, those that wait together in one transaction.
     pub async fn store_submissions(&self) {
         let queue = &self.intake.submissions.1;
         while let Ok(first) = queue.recv().await {
             let mut batch = vec![first];
             let mut bytes = 0;
-            while batch.len() < self.store.most.writes && bytes < 20_000 {
+            // one that needs a cancelled job is stored with its own end
+            let changes = |l: &[(Arc<Spec>, bool, _)]| l.iter().map(|s| 1 + usize::from(s.1)).sum::<usize>();
+            while changes(&batch) + 1 < self.store.most.writes && bytes < 20_000 {
                 let Ok(next) = queue.try_recv() else { break };
                 bytes += http::encode(&*next.0).len();
                 batch.push(next);
@@ -342,27 +428,36 @@
             let mut tries = 0;
             while !batch.is_empty() {
                 let mut txn = Txn::default();
-                for (spec, _) in &batch {
+                for (spec, doomed, _) in &batch {
                     let path = format!("{}{}", key::JOB, spec.id);
                     // twice the same id in one batch: once is enough
                     if !txn.guards.iter().any(|g| g.path == path) {
                         txn.guard(path.clone(), 0);
                         txn.writes.push(Write::set(path, &**spec));
+                        if *doomed {
+                            let path = format!("{}{}", key::FATE, spec.id);
+                            txn.guard(path.clone(), 0);
+                            txn.writes.push(Write::set(path, &FateRecord { fate: Fate::Cancelled }));
+                        }
                     }
                 }
                 let outcome = self.store.txn(&txn).await;
                 let now = Instant::now();
                 match outcome {
                     Ok(Outcome::Done(stamp)) => {
-                        for (spec, reply) in batch.drain(..) {
+                        for (spec, doomed, reply) in batch.drain(..) {
+                            let id = spec.id.clone();
                             self.stored_job(spec, stamp, now);
+                            if doomed {
+                                self.learn_fate(&id, Fate::Cancelled, now);
+                            }
                             let _ = reply.try_send(Accepted::New);
                         }
                     }
                     Ok(Outcome::Conflict(failed)) => {
                         // those exist already, perhaps by a try of ours
                         for k in &failed {
-                            for (_, reply) in batch.extract_if(.., |(s, _)| *k == format!("{}{}", key::JOB, s.id)) {
+                            for (_, _, reply) in batch.extract_if(.., |(s, ..)| *k == format!("{}{}", key::JOB, s.id)) {
                                 let _ = reply.try_send(Accepted::Before);
                             }
                         }
@@ -373,7 +468,7 @@
                     }
                     Err(e) => {
                         tracing::debug!("submissions: {e}");
-                        for (_, reply) in batch.drain(..) {
+                        for (_, _, reply) in batch.drain(..) {
                             let _ = reply.try_send(Accepted::Unknown);
                         }
                     }
@@ -416,7 +511,7 @@
         timed(QUERY_LIMIT, answer.recv()).await?.ok()?
     }
 
-    async fn lookup_pause(&self, calls: f64) {
+    pub(crate) async fn lookup_pause(&self, calls: f64) {
         let wait = {
             let mut b = self.intake.lookup_calls.lock().unwrap_or_else(|e| e.into_inner());
             b.take(calls, Instant::now())
@@ -630,17 +725,28 @@
             Some(Found::Open | Found::Confirmed) => {}
             None => return Err(Error::Refused(503)),
         }
+        // with it as many of those that need it as fit; the leader has the rest
+        let mut ends = vec![Name::from(id)];
+        ends.extend(self.lock().ledger.after(id, self.store.most.writes.saturating_sub(1)));
         let path = format!("{}{id}", key::FATE);
-        let mut txn = Txn::default();
-        txn.guard(path.clone(), 0);
-        txn.writes.push(Write::set(path.clone(), &FateRecord { fate: Fate::Cancelled }));
-        match self.store.txn(&txn).await? {
-            Outcome::Done(_) => {
-                self.learn_fate(id, Fate::Cancelled, Instant::now());
-                Ok(Some(Fate::Cancelled))
+        loop {
+            let mut txn = Txn::default();
+            for id in &ends {
+                let path = format!("{}{id}", key::FATE);
+                txn.guard(path.clone(), 0);
+                txn.writes.push(Write::set(path, &FateRecord { fate: Fate::Cancelled }));
+            }
+            match self.store.txn(&txn).await? {
+                Outcome::Done(_) => {
+                    let now = Instant::now();
+                    ends.iter().for_each(|id| self.learn_fate(id, Fate::Cancelled, now));
+                    return Ok(Some(Fate::Cancelled));
+                }
+                // one of the others has ended by itself: this one alone then
+                Outcome::Conflict(keys) if ends.len() > 1 && !keys.contains(&path) => ends.truncate(1),
+                // whoever loses the race says what the store says
+                Outcome::Conflict(_) => return self.read_fate(&path).await.map(Some).ok_or(Error::Refused(503)),
             }
-            // whoever loses the race says what the store says
-            Outcome::Conflict(_) => self.read_fate(&path).await.map(Some).ok_or(Error::Refused(503)),
         }
     }
 }
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -12,7 +12,7 @@
 use crate::cluster::{Cluster, Machine, Stage};
 use crate::cluster::{Listed, Rental};
 use crate::cluster::{Page, Whereabouts};
-use crate::commit::read_page;
+use crate::commit::{begun, read_page};
 use crate::fleet::Plan;
 use crate::http;
 use crate::ledger::{Open, Standing};
@@ -41,6 +41,12 @@
     machines: Vec<Name>,
 }
 
+/// Needed jobs that the store is asked about at once.
+const MOST_ASKED: usize = 10_000;
+
+/// So many are asked about one by one; of more the pages are read.
+const FEW_ASKED: usize = 32;
+
 /// How long the cloud may take to answer.
 const CLOUD_LIMIT: Duration = Duration::from_secs(4);
 
@@ -87,6 +93,8 @@
         let work =
             futures_lite::future::or(self.commits(a), futures_lite::future::or(self.placing(), self.commanding()));
         let cloud = futures_lite::future::or(self.listing(a), self.cloud_work(a));
+        let chains = futures_lite::future::or(self.gate(a), self.asking());
+        let work = futures_lite::future::or(work, chains);
         futures_lite::future::or(futures_lite::future::or(work, cloud), self.ears()).await
     }
 
@@ -137,8 +145,15 @@
         }
         let mut i = self.lock();
         c.set_types(&i.types);
+        // what has a start or a completed task on record had all it needs: no
+        // start is stored before that.  Held back, its tasks would count nowhere
+        let begun = begun(stored.pages.iter().map(|p| &p.1));
         for o in i.ledger.open() {
-            c.add_job(o.spec.clone(), o.stamp, None, now);
+            if begun.contains(&o.spec.id) {
+                c.add_begun(o.spec.clone(), o.stamp, None, now);
+            } else {
+                c.add_job(o.spec.clone(), o.stamp, None, now);
+            }
         }
         let mut missing = HashSet::new();
         for id in stored.pages.iter().flat_map(|(_, p, _)| &p.starts).map(|s| &s.task.job) {
@@ -165,6 +180,11 @@
                 c.fleet.inherit(item.path, r);
             }
         }
+        for n in c.dependency.unknown() {
+            if let Some(fate) = i.ledger.fate(&n) {
+                c.set_fate(&n, fate, now);
+            }
+        }
         c.tidy(now);
         c.learned = self.peers.learned();
         let zones = self.config.siblings.iter().map(|s| s.zone.as_str());
@@ -192,9 +212,9 @@
             match outcome {
                 Ok(Outcome::Done(revision)) => {
                     let ended = self.lock().cluster.as_mut().map(|c| c.committed(batch, revision, now));
-                    for id in ended.unwrap_or_default() {
-                        tracing::debug!("{id} is done");
-                        self.learn_fate(&id, Fate::Done, now);
+                    for (id, fate) in ended.unwrap_or_default() {
+                        tracing::debug!("{id} is {}", fate.word());
+                        self.learn_fate(&id, fate, now);
                     }
                     self.stored.notify(usize::MAX);
                     self.to_command.wake();
@@ -231,6 +251,61 @@
         }
     }
 
+    /// Asks the store after needed jobs of which nothing is known here: they
+    /// ended before this controller began, or too long ago to be kept.  Only what
+    /// waits for them waits meanwhile.
+    async fn asking(&self) -> &'static str {
+        loop {
+            let now = Instant::now();
+            let ids = {
+                let mut i = self.lock();
+                let asked = |c: &mut Cluster| c.dependency.to_ask(MOST_ASKED, self.policy.renew, now);
+                i.cluster.as_mut().map(asked).unwrap_or_default()
+            };
+            if ids.is_empty() {
+                self.to_ask.wait(self.policy.renew / 2).await;
+                continue;
+            }
+            match self.ends_of(ids).await {
+                Ok(ends) => ends.into_iter().for_each(|(id, fate)| self.learn_fate(&id, fate, Instant::now())),
+                Err(e) => {
+                    tracing::debug!("ends of needed jobs: {e}");
+                    smol::Timer::after(self.policy.renew / 4).await;
+                }
+            }
+        }
+    }
+
+    /// The ends of these jobs, as far as they have one: a few one by one, many
+    /// from the pages of all ends.
+    async fn ends_of(&self, mut ids: Vec<Name>) -> Result<Vec<(Name, Fate)>, Error> {
+        let read = |i: Item| {
+            Some((Name::from(i.path.strip_prefix(key::FATE)?), read_value::<FateRecord>(&i.path, i.data)?.fate))
+        };
+        let mut ends = Vec::new();
+        if ids.len() <= FEW_ASKED {
+            for id in ids {
+                self.lookup_pause(1.0).await;
+                ends.extend(self.store.get(&format!("{}{id}", key::FATE)).await?.and_then(read));
+            }
+            return Ok(ends);
+        }
+        ids.sort();
+        let wanted: HashSet<Name> = ids.iter().cloned().collect();
+        let mut since = String::new();
+        while let Some(last) = ids.last().filter(|l| since.as_str() < format!("{}{l}", key::FATE).as_str()) {
+            tracing::debug!("ends of {} needed jobs up to {last}, from {since}", ids.len());
+            let page = self.store.page(key::FATE, &since).await?;
+            let Some(row) = page.rows.last() else { break };
+            since.clone_from(&row.path);
+            ends.extend(page.rows.into_iter().filter_map(read).filter(|e| wanted.contains(&e.0)));
+            if !page.truncated {
+                break;
+            }
+        }
+        Ok(ends)
+    }
+
     /// Passes over the queue: when something changed, and now and then.
     async fn placing(&self) -> &'static str {
         loop {
@@ -408,7 +483,10 @@
                     (t.price, t.spot_price) = (t.price.ceil(), t.spot_price.ceil());
                 }
                 let sizes = |l: &[MachineType]| l.iter().map(|t| (t.name.clone(), t.size())).collect::<Vec<_>>();
-                if stored.as_deref().map(sizes) != Some(sizes(&types)) {
+                // a list that a value can't hold is not kept: a part of it would
+                // have jobs refused for good
+                let fits = http::encode(&types).len() * 2 <= self.store.most.value_bytes;
+                if fits && stored.as_deref().map(sizes) != Some(sizes(&types)) {
                     let mut txn = Txn { guards: vec![], writes: vec![Write::set(key::TYPES, &types)] };
                     txn.guard(key::LEADER, a.stamp);
                     if self.store.txn(&txn).await.is_ok() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,8 @@
 pub mod authority;
 pub mod cli;
 pub mod client;
-pub mod intake;
+pub mod gates;
+mod intake;
 pub mod leader;
 pub mod leadership;
 pub mod node;
--- a/src/node.rs
+++ b/src/node.rs
@@ -35,6 +35,8 @@
     pub ledger: Ledger,
     /// The watch has caught up once.
     pub synced: bool,
+    /// All controllers have jobs that wait for others.
+    pub chains: bool,
     /// Revision up to which the watch has been seen.
     pub epoch: u64,
     /// Who leads.
@@ -86,6 +88,7 @@
         Inner {
             ledger: Ledger::new(ended_kept),
             synced: false,
+            chains: false,
             epoch: 0,
             leader: None,
             authority: None,
@@ -122,6 +125,8 @@
     pub to_place: Wake,
     /// Something to store.
     pub to_commit: Wake,
+    /// Needed jobs that the store has to be asked about.
+    pub to_ask: Wake,
     /// The other controllers.
     pub peers: Peers,
     /// Client for the workers.
@@ -146,7 +151,8 @@
         let most_idle = policy.direct_calls;
         let policy = Arc::new(policy);
         let rps = config.deployment.cloud.rps;
-        let limits = &config.deployment.state;
+        // nobody says when the limits change: the first write keeps to the later
+        let limits = &config.deployment.state.least();
         let store = Store::new(config.services.state, limits, limits.rps * policy.read_share, now);
         let lookups = limits.rps * policy.lookup_share;
         Node {
@@ -157,6 +163,7 @@
             cloud_calls: Mutex::new(Budget::new(rps * 0.7, rps * 1.4, now)),
             to_place: Wake::default(),
             to_commit: Wake::default(),
+            to_ask: Wake::default(),
             peers: Peers::new(&config.siblings),
             workers: http::Client::new(most_idle),
             to_command: Wake::default(),
@@ -231,10 +238,18 @@
     }
 
     pub(crate) fn opened(&self, i: &mut Inner, spec: Arc<Spec>, stamp: u64, now: Instant) {
-        if let Some(c) = i.cluster.as_mut() {
-            c.add_job(spec, stamp, None, now);
-            self.to_place.wake();
+        let Some(c) = i.cluster.as_mut() else { return };
+        c.add_job(spec.clone(), stamp, None, now);
+        for n in &spec.needs {
+            if c.dependency.is_unknown(n) {
+                match i.ledger.fate(n) {
+                    Some(fate) => c.set_fate(n, fate, now),
+                    None => self.to_ask.wake(),
+                }
+            }
         }
+        self.to_place.wake();
+        self.to_commit.wake();
     }
 
     /// A job's end, as stored.
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -14,6 +14,7 @@
 use tonic::body::Body;
 
 use crate::cluster::{Learned, Machine};
+use crate::gates;
 use crate::http::{Request, Response};
 use crate::node::Node;
 use crate::siblings::wire::peer_server::{Peer, PeerServer};
@@ -26,10 +27,11 @@
     /// Asks one sibling how it stands.
     async fn ask(&self, l: &Link, progress: bool) {
         let limit = self.policy.peer_limit;
-        let answer =
-            self.peers.call(l, limit, |mut c| async move { c.status(wire::StatusRequest { progress }).await }).await;
+        let ask = wire::StatusRequest { progress, from: self.config.name.clone(), knows: gates::known() };
+        let answer = self.peers.call(l, limit, |mut c| async move { c.status(ask).await }).await;
         let Some(s) = answer else { return };
         let now = Instant::now();
+        self.shows(&l.name, s.knows, s.version, now);
         let heard = s.heard_ms.and_then(|ms| now.checked_sub(Duration::from_millis(ms)));
         let seen = Seen { at: now, served: s.served, term: s.term, heard };
         lock(&self.peers.seen).insert(l.name.clone(), seen);
@@ -50,10 +52,15 @@
                 // the end of a cut has to be noticed soon
                 let _ = self.store.get(crate::store::key::LEADER).await;
             }
-            let leader = self.lock().leader.as_ref().map(|l| l.record.name.clone());
-            let asked = self.peers.links.iter().filter(|l| trouble || leader.as_deref() == Some(&l.name));
+            let (leader, gated) = {
+                let i = self.lock();
+                (i.leader.as_ref().map(|l| l.record.name.clone()), !i.chains)
+            };
+            // until all is on everybody is asked, and so told what is here
+            let asked = self.peers.links.iter().filter(|l| trouble || gated || leader.as_deref() == Some(&l.name));
             futures_util::future::join_all(asked.map(|l| self.ask(l, leader.as_deref() == Some(&l.name)))).await;
             let pause = if trouble { self.policy.peer_limit / 2 } else { self.policy.peer_limit * 3 };
+            let pause = if gated { pause.min(self.policy.renew / 2) } else { pause };
             smol::Timer::after(pause).await;
         }
     }
@@ -146,8 +153,11 @@
         &self,
         r: tonic::Request<wire::StatusRequest>,
     ) -> Result<tonic::Response<wire::StatusResponse>, tonic::Status> {
-        let progress = r.into_inner().progress;
-        let now = Instant::now();
+        let r = r.into_inner();
+        let (progress, now) = (r.progress, Instant::now());
+        if !r.from.is_empty() {
+            self.0.shows(&r.from, r.knows, String::new(), now);
+        }
         let jobs = if progress { self.0.progress() } else { Vec::new() };
         let (machines, images) = match progress {
             false => Default::default(),
@@ -173,6 +183,8 @@
             (i.leader.as_ref().map_or(0, |l| l.record.term), i.heard)
         };
         let heard_ms = heard.map(|t| t.elapsed().as_millis() as u64);
-        Ok(tonic::Response::new(wire::StatusResponse { served, term, leads, jobs, machines, images, heard_ms }))
+        let (knows, version) = (gates::known(), gates::VERSION.to_owned());
+        let s = wire::StatusResponse { served, term, leads, jobs, machines, images, heard_ms, knows, version };
+        Ok(tonic::Response::new(s))
     }
 }
--- a/src/queues.rs
+++ b/src/queues.rs
@@ -21,7 +21,8 @@
 
 /// Users' requests on their way to the store, gathered into transactions.
 pub struct Intake {
-    pub(crate) submissions: Queue<(Arc<Spec>, Reply<Accepted>)>,
+    /// Submissions, and whether each ends with a cancelled job that it needs.
+    pub(crate) submissions: Queue<(Arc<Spec>, bool, Reply<Accepted>)>,
     pub(crate) checks: Queue<(Name, Reply<Option<Option<Fate>>>)>,
     /// Ids that are not known here.
     pub(crate) lookups: Queue<(Name, Reply<Option<Found>>)>,
--- a/src/siblings.rs
+++ b/src/siblings.rs
@@ -15,6 +15,8 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use tonic::body::Body;
 
+use coralnotch_core::gate::Roster;
+
 use crate::cluster::Learned;
 use crate::model::Name;
 use crate::wait::timed;
@@ -74,6 +76,8 @@
     pub(crate) progress: Mutex<HashMap<crate::model::Name, (u32, u32)>>,
     /// What the leader had learned of machines, as it last told.
     pub(crate) learned: Mutex<HashMap<Name, Learned>>,
+    /// What each has shown that it has.
+    pub(crate) roster: Mutex<Roster>,
     pub(crate) spawn: Spawner,
     pub(crate) work: smol::channel::Receiver<Work>,
 }
@@ -151,6 +155,7 @@
             seen: Mutex::default(),
             progress: Mutex::default(),
             learned: Mutex::default(),
+            roster: Mutex::default(),
             spawn: Spawner(s),
             work,
         }
--- a/src/store.rs
+++ b/src/store.rs
@@ -115,8 +115,9 @@
     silent: AtomicBool,
 }
 
-/// A transaction has 64 KiB in all, with conditions and ends beside the page.
-const MOST_PAGE: usize = 32 * 1024;
+/// A page is gone through with every change of it, and a few more are looked at:
+/// larger ones would cost more time than they save changes.
+const MOST_PAGE: usize = 6 * 1024;
 
 /// Most keys that the service puts into one page.
 const MOST_ROWS: usize = 1000;
@@ -143,6 +144,7 @@
                 writes: most_writes,
                 guards: limits.txn_ops * 4,
                 page_bytes: ((limits.value_kb * 1024.0 * 0.95) as usize).min(MOST_PAGE),
+                value_bytes: (limits.value_kb * 1024.0 * 0.95) as usize,
             },
             last_served: Mutex::new(now),
             failing: AtomicBool::new(false),
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use coralnotch_core::gate::Gates;
+
 use crate::authority::LeaderRecord;
 use crate::ledger::{News, Sweep};
 use crate::model::*;
@@ -29,6 +31,10 @@
                         self.lock().leader = Some(LeaderSeen { record, stamp: e.stamp });
                         self.to_lead.wake();
                     }
+                } else if path == key::GATES {
+                    if let Some(g) = read_value::<Gates>(&path, data) {
+                        self.gates_are(&g);
+                    }
                 } else if path == key::TYPES {
                     if let Some(t) = read_value::<Vec<MachineType>>(&path, data) {
                         let mut i = self.lock();
@@ -87,6 +93,7 @@
         }
         page.rows.into_iter().for_each(seen);
         self.store.get(key::TYPES).await?.into_iter().for_each(seen);
+        self.store.get(key::GATES).await?.into_iter().for_each(seen);
         // ended jobs whose tasks may still be somewhere: a controller that
         // leads soon would have to read them one by one
         let mut wanted = HashSet::new();
@@ -142,7 +149,10 @@
 
     /// Changes up to a revision, in their order and with no await between them:
     /// the ledger's floor is the last one's.
-    fn changed(&self, news: Vec<Event>, epoch: u64) -> u64 {
+    fn changed(&self, mut news: Vec<Event>, epoch: u64) -> u64 {
+        // a job and its end may be of one transaction: an end that came first
+        // would find no job, and the job would never end here
+        news.sort_by_key(|e| (e.stamp, e.set.as_ref().is_some_and(|p| p.starts_with(key::FATE))));
         for e in news {
             self.event(e);
         }
