Client and submit: jobs are sent once those that they need are accepted

Needed jobs that this client has not had accepted yet would get a dependent refused for good; it waits for them, in whatever order they come. submit tells all faults of a file's chains at once with file and job, and asks for names that are not in the file, before anything is sent. status shows the gate, the siblings' versions and how many jobs wait.

--- a/packages/client/src/client.rs
+++ b/packages/client/src/client.rs
@@ -143,7 +143,7 @@
 
 struct Tracked {
     job: Job,
-    /// A request is under way, or waits for the budget.
+    /// A request is under way, or waits for the budget or for a needed job.
     flying: bool,
 }
 
@@ -154,6 +154,9 @@
     /// Jobs whose retries are due and wait for the budget, in their order; no
     /// more than there are unfinished jobs.
     held: VecDeque<Name>,
+    /// Jobs that wait until one that they need is accepted, by that one; each
+    /// once.
+    after: HashMap<Name, Vec<Name>>,
     endpoints: Endpoints,
     budget: Budget,
     rng: fastrand::Rng,
@@ -161,6 +164,25 @@
 }
 
 impl Inner {
+    /// A job that this one needs and that no controller has said to have yet: a
+    /// submission that names it would be refused for good.
+    fn unaccepted(&self, id: &Name) -> Option<Name> {
+        let job = &self.jobs.get(id)?.job;
+        let open = |n: &&Name| self.jobs.get(*n).is_some_and(|t| !t.job.accepted() && !t.job.ended());
+        let waits = !job.accepted() && !job.ended();
+        job.spec().needs.iter().filter(|_| waits).find(open).cloned()
+    }
+
+    /// The job is accepted, or never will be: those that waited for it go on.
+    fn settled(&mut self, id: &Name) {
+        for n in self.after.remove(id).unwrap_or_default() {
+            if let Some(t) = self.jobs.get_mut(&n) {
+                t.flying = false;
+            }
+            self.schedule(&n, None);
+        }
+    }
+
     fn schedule(&mut self, id: &Name, was: Option<Instant>) {
         if let Some(t) = was {
             self.due.remove(&(t, id.clone()));
@@ -253,7 +275,13 @@
         while room > 0 {
             let Some((at, id)) = i.due.first().cloned().filter(|d| d.0 <= now) else { break };
             i.due.remove(&(at, id.clone()));
+            let first = i.unaccepted(&id);
             let Some(tracked) = i.jobs.get_mut(&id) else { continue };
+            if let Some(first) = first {
+                tracked.flying = true;
+                i.after.entry(first).or_default().push(id);
+                continue;
+            }
             let (action, again) = (tracked.job.action(), tracked.job.again());
             let mut to = None;
             if action != Action::Record {
@@ -369,6 +397,9 @@
         };
         let change = Change { id: id.clone(), progress: t.job.shown(), answer: t.job.answer().cloned() };
         i.schedule(id, None);
+        if matches!(changed, Changed::Accepted | Changed::Over) {
+            i.settled(id);
+        }
         drop(guard);
         match changed {
             Changed::Accepted => {
@@ -481,6 +512,7 @@
             jobs: HashMap::new(),
             due: BTreeSet::new(),
             held: VecDeque::new(),
+            after: HashMap::new(),
             endpoints: Endpoints::new(&settings.endpoints, first, settings.rest),
             budget: Budget::new(
                 settings.retry_ratio,
@@ -541,7 +573,8 @@
     }
 
     /// Submits jobs, all or none of them taken in; a batch costs the journal
-    /// one write.
+    /// one write.  A job that needs others is sent once these are accepted, in
+    /// whatever order they come.
     pub async fn submit_all(&self, specs: Vec<Spec>) -> Result<Vec<JobHandle>, Error> {
         Ok(self.take_in(specs, None).await?.unwrap_or_default())
     }
--- a/packages/client/src/job.rs
+++ b/packages/client/src/job.rs
@@ -116,6 +116,11 @@
         self.accepted.is_some()
     }
 
+    /// Whether its final answer is known, on record or not.
+    pub fn ended(&self) -> bool {
+        self.answer.is_some()
+    }
+
     /// Whether its user wants it no more.
     pub fn withdrawn(&self) -> bool {
         self.withdrawn
--- a/src/client.rs
+++ b/src/client.rs
@@ -135,7 +135,16 @@
         lines.push("  the state service does not carry out its requests".into());
     }
     lines.push(format!("  knows {} jobs", s.known_jobs));
+    let versions: Vec<String> = s.versions.iter().map(|(n, v)| format!("{n} {v}")).collect();
+    lines.push(match (s.chains, versions.is_empty()) {
+        (true, _) => "  jobs may wait for others".into(),
+        (false, true) => "  jobs may not wait for others yet: no sibling has told what it has".into(),
+        (false, false) => format!("  jobs may not wait for others yet: {}", versions.join(", ")),
+    });
     if let Some(f) = &s.leading {
+        if f.held > 0 {
+            lines.push(format!("  {} jobs wait for others", f.held));
+        }
         lines.push(format!("  {} jobs open, {} tasks wait, {} placed", f.jobs, f.waiting, f.placed));
         let busy = [(f.in_doubt, "machines in doubt"), (f.unstored, "starts to store"), (f.rentals, "rentals open")];
         let busy: Vec<String> = busy.iter().filter(|b| b.0 > 0).map(|b| format!("{} {}", b.0, b.1)).collect();
--- a/src/gates.rs
+++ b/src/gates.rs
@@ -31,6 +31,18 @@
         roster.shown(name, Shown { knows, version, at });
     }
 
+    /// The siblings' versions, as far as they have told.
+    pub(crate) fn versions(&self) -> std::collections::BTreeMap<String, String> {
+        let roster = lock(&self.peers.roster);
+        let of = |s: &Shown| match (s.knows.is_empty(), s.version.is_empty()) {
+            (true, _) => "earlier".to_owned(),
+            (false, true) => "not told yet".to_owned(),
+            (false, false) => s.version.clone(),
+        };
+        let names = self.config.siblings.iter().map(|s| &s.name);
+        names.filter_map(|n| Some((n.clone(), of(roster.of(n)?)))).collect()
+    }
+
     /// The stored record of what is on, as the store shows it.
     pub(crate) fn gates_are(&self, g: &Gates) {
         let mut i = self.lock();
--- a/src/status.rs
+++ b/src/status.rs
@@ -34,6 +34,7 @@
                 cut: c.fleet.cut.iter().cloned().collect(),
                 unstored: c.unstored.len(),
                 pages: c.pages.len(),
+                held: c.dependency.len(),
                 rentals: c.fleet.open.len(),
                 ..Figures::default()
             };
@@ -78,6 +79,8 @@
             known_jobs: i.ledger.len(),
             ended_jobs: i.ledger.ended(),
             leading,
+            chains: i.chains,
+            versions: self.versions(),
             counters: counters.iter().map(|(n, c)| ((*n).to_owned(), c.load(Ordering::Relaxed))).collect(),
             latencies: self.telemetry.latencies(),
         }
--- a/src/submit.rs
+++ b/src/submit.rs
@@ -4,7 +4,7 @@
 //! again with the same arguments at any moment: no job is submitted twice, and
 //! the file has one line for each job in the end.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::fs::File;
 use std::io::{self, IsTerminal, Read, Seek, SeekFrom, Write};
 use std::net::SocketAddr;
@@ -18,8 +18,8 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
-use crate::client::{say, BAD_SETTINGS};
-use crate::model::{Name, Spec};
+use crate::client::{say, Controller, BAD_SETTINGS};
+use crate::model::{Name, Shape, Spec};
 
 /// How to submit.
 #[derive(Debug, Clone, clap::Args)]
@@ -119,7 +119,9 @@
     // a job may be spread over lines; many are a line each
     let many = lines.len() > 1 && serde_json::from_str::<serde_json::Value>(lines[0]).is_ok();
     if !many {
-        return one(text).map(|s| vec![s]).map_err(|e| format!("{file}: {e}"));
+        let specs = one(text).map(|s| vec![s]).map_err(|e| format!("{file}: {e}"))?;
+        let wrong = chained(file, &specs);
+        return if wrong.is_empty() { Ok(specs) } else { Err(wrong.join("\n")) };
     }
     let (mut specs, mut wrong, mut ids) = (Vec::new(), Vec::new(), HashSet::new());
     for (n, line) in text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty()) {
@@ -131,12 +133,74 @@
             Err(e) => wrong.push(format!("{file}: line {}: {e}", n + 1)),
         }
     }
+    wrong.extend(chained(file, &specs));
     match wrong.is_empty() {
         true => Ok(specs),
         false => Err(wrong.join("\n")),
     }
 }
 
+/// What is wrong with what the jobs of a file need, as far as the file tells: a
+/// service is never done, and jobs that wait for one another never start.
+fn chained(file: &str, specs: &[Spec]) -> Vec<String> {
+    let by_id: HashMap<&Name, &Spec> = specs.iter().map(|s| (&s.id, s)).collect();
+    let mut wrong = Vec::new();
+    for s in specs {
+        let services = s.needs.iter().filter_map(|n| by_id.get(n)).filter(|n| n.shape == Shape::Service);
+        wrong.extend(services.map(|n| format!("{file}: {} needs {}, a service, which is never done", s.id, n.id)));
+    }
+    // what needs nothing else of the file goes first; what is left goes round
+    let inside = |s: &Spec| s.needs.iter().filter(|n| by_id.contains_key(*n)).count();
+    let mut left: HashMap<&Name, usize> = specs.iter().map(|s| (&s.id, inside(s))).collect();
+    let mut after: HashMap<&Name, Vec<&Name>> = HashMap::new();
+    for s in specs {
+        s.needs.iter().for_each(|n| after.entry(n).or_default().push(&s.id));
+    }
+    let mut next: Vec<&Name> = left.iter().filter(|l| *l.1 == 0).map(|l| *l.0).collect();
+    while let Some(id) = next.pop() {
+        left.remove(id);
+        for a in after.get(id).into_iter().flatten() {
+            if let Some(n) = left.get_mut(a) {
+                *n -= 1;
+                if *n == 0 {
+                    next.push(a);
+                }
+            }
+        }
+    }
+    let round = specs.iter().filter(|s| left.contains_key(&s.id));
+    wrong.extend(round.map(|s| format!("{file}: {} needs itself, or waits for jobs that do", s.id)));
+    wrong
+}
+
+/// Names that the jobs need, that are not among them and that no controller
+/// knows.
+async fn strangers(file: &str, specs: &[Spec], how: &How) -> Result<Vec<String>, Failed> {
+    let own: HashSet<&Name> = specs.iter().map(|s| &s.id).collect();
+    let mut known: HashMap<&Name, bool> = HashMap::new();
+    let mut wrong = Vec::new();
+    let patience = Duration::from_secs(if how.patience > 0 { how.patience } else { u64::MAX / 4 });
+    let Some(node) = how.node.first() else { return Ok(wrong) };
+    let controller = Controller::new(*node, patience);
+    for s in specs {
+        for n in s.needs.iter().filter(|n| !own.contains(n)) {
+            let found = match known.get(n) {
+                Some(found) => *found,
+                None => match controller.show(n).await {
+                    Ok(_) => true,
+                    Err(crate::client::Error::Refused { status: 404, .. }) => false,
+                    Err(e) => return Err(Failed(1, e.to_string())),
+                },
+            };
+            known.insert(n, found);
+            if !found {
+                wrong.push(format!("{file}: {} needs {n}, which nobody submitted", s.id));
+            }
+        }
+    }
+    Ok(wrong)
+}
+
 fn read(file: &str) -> Result<String, String> {
     let mut text = String::new();
     let read = match file {
@@ -176,6 +240,10 @@
     let bad = |e: String| Failed(BAD_SETTINGS, e);
     let input = read(file).map_err(bad)?;
     let specs = jobs(file, &input).map_err(bad)?;
+    let wrong = strangers(file, &specs, how).await?;
+    if !wrong.is_empty() {
+        return Err(Failed(BAD_SETTINGS, wrong.join("\n")));
+    }
     let mut answers = how.out.as_deref().map(Answers::open).transpose().map_err(bad)?;
     let mut settings = Settings::new(how.node.clone());
     settings.journal = how.journal.clone();
@@ -309,6 +377,32 @@
         }
     }
 
+    /// Faults of a chain are told all at once, with file and job.
+    #[test]
+    fn chains_that_cannot_run_are_told_at_once() {
+        let job = |id: &str, shape: &str, needs: &str| {
+            let job = JOB.replacen('{', &format!("{{\"nameId\":\"{id}\",\"awaits\":{needs},"), 1);
+            job.replace("batch", shape)
+        };
+        let good =
+            [job("j-3", "batch", "[\"j-2\",\"j-1\"]"), job("j-2", "group", "[\"j-1\"]"), job("j-1", "batch", "null")];
+        assert_eq!(jobs("f", &good.join("\n")).expect("in any order").len(), 3);
+        let bad = [
+            job("j-1", "standing", "[]"),
+            job("j-2", "batch", "[\"j-1\"]"),
+            job("j-3", "batch", "[\"j-4\"]"),
+            job("j-4", "batch", "[\"j-3\"]"),
+            job("j-5", "batch", "[\"j-5\"]"),
+            job("j-6", "batch", "7"),
+        ];
+        let wrong = jobs("f", &bad.join("\n")).expect_err("five faults");
+        for part in ["j-2 needs j-1, a service", "f: j-3 needs itself", "f: j-4 needs", "f: j-5 needs", "f: line 6:"] {
+            assert!(wrong.contains(part), "{part} is missing in {wrong}");
+        }
+        assert_eq!(wrong.lines().count(), 5);
+        assert!(jobs("f", &job("j-5", "batch", "[\"j-5\"]")).is_err());
+    }
+
     /// A line that a crash cut off is written again, a whole one never.
     #[test]
     fn answers_have_one_whole_line_a_job() {
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -162,6 +162,9 @@
     pub unstored: usize,
     /// Pages in the store.
     pub pages: usize,
+    /// Jobs that wait for others.
+    #[serde(default)]
+    pub held: usize,
     /// Rentals under way or in doubt.
     pub rentals: usize,
     /// The jobs that wait longest.
@@ -186,6 +189,13 @@
     pub ended_jobs: usize,
     /// Set on the leader.
     pub leading: Option<Figures>,
+    /// Whether jobs that wait for others are taken: every controller has them.
+    #[serde(default)]
+    pub chains: bool,
+    /// Versions of the siblings, as far as they have told; `earlier` of one that
+    /// knows of no gates.
+    #[serde(default)]
+    pub versions: BTreeMap<String, String>,
     /// Counters.
     pub counters: BTreeMap<String, u64>,
     /// Latencies.
