A reap raises the token above a direct start's: a late copy no longer runs it again

An answer that reaps now carries a token above the one under which a start last left directly, so that the copy is refused. The world's elections are the program's own steps (read, lease, guarded write, first read), any of which a controller may end in and be back in 0.2 s; two more guards left out (elections, reaps) are noticed.

--- a/packages/core/src/cluster/machine.rs
+++ b/packages/core/src/cluster/machine.rs
@@ -64,6 +64,8 @@
     pub address: Option<std::net::SocketAddr>,
     /// Its own part of the token; raising it kills every command in flight.
     pub fence: u64,
+    /// The fence under which a start last left for it directly.
+    pub direct: Option<u64>,
     /// Token of direct starts that were not answered (yet): they may be
     /// carried out at any time until the worker has seen a higher token.
     pub doubt: Option<u64>,
@@ -106,6 +108,7 @@
             samples: 0,
             address: None,
             fence: 0,
+            direct: None,
             doubt: None,
             flying: false,
             answering: false,
--- a/packages/core/src/sim/controllers.rs
+++ b/packages/core/src/sim/controllers.rs
@@ -6,6 +6,8 @@
 pub(super) struct Controller {
     pub(super) until: Ms,
     pub(super) stamp: u64,
+    /// Its lease.
+    hold: u64,
     pub(super) cluster: Cluster,
     /// The transaction without an answer yet, its number and when it left.
     pub(super) flying: Option<(Batch, u64, Ms)>,
@@ -14,31 +16,88 @@
     pub(super) wants: Vec<crate::cluster::Want>,
 }
 
+/// A controller that stands for leader.
+#[derive(Clone, Copy)]
+pub(super) struct Standing {
+    /// Life that it stands for.
+    life: u64,
+    number: u64,
+    sent: Ms,
+    hold: u64,
+    term: u64,
+}
+
 impl World {
+    /// Those that find no leader, or their own earlier life as leader, stand for
+    /// it: read the key and the term, take a lease, and write both, guarded on what
+    /// they read.  A process may end between any two of these.
     pub(super) fn elect(&mut self) {
-        if self.store.lease.is_some_and(|(_, until)| until > self.now) || self.now < self.outage {
+        self.store.expire(self.now);
+        let ttl = self.policy.ttl.as_millis() as Ms;
+        if self.now < self.outage {
+            // after an outage every lease has its full time again
+            self.store.leases.values_mut().for_each(|until| *until = self.outage + ttl);
             return;
         }
-        // one that is deaf stands down while others can lead
-        let can = |i: &usize| {
-            self.down_until[*i] <= self.now && self.no_renewal[*i] <= self.now && self.frozen[*i] <= self.now
-        };
-        let mut up: Vec<usize> = (0..3).filter(can).collect();
-        if up.iter().any(|i| self.deaf[*i] <= self.now) {
-            up.retain(|i| self.deaf[*i] <= self.now);
+        let all_deaf = self.deaf.iter().all(|t| *t > self.now);
+        for i in 0..3 {
+            let reaches = self.no_renewal[i] <= self.now && self.frozen[i] <= self.now;
+            if self.down_until[i] > self.now || !reaches || self.controllers[i].is_some() {
+                continue;
+            }
+            if let Some(s) = self.standing[i] {
+                if self.now - s.sent > 1500 {
+                    // no answer: it may be carried out yet
+                    self.standing[i] = None;
+                }
+                continue;
+            }
+            let free = self.store.leader.is_none_or(|(who, _)| who == i);
+            // one that is deaf stands down while others can lead
+            if !free || self.deaf[i] > self.now && !all_deaf || self.rng.u32(0..3) == 0 {
+                continue;
+            }
+            let mut txn = Txn::default();
+            txn.guard(key::LEADER, self.store.stamp(key::LEADER));
+            txn.guard(key::TERM, self.store.stamp(key::TERM));
+            let last = self.store.kv.get(key::TERM).and_then(|(d, _)| read_value::<u64>(key::TERM, d.clone()));
+            let term = last.unwrap_or(0) + 1;
+            txn.writes.push(Write::set(key::LEADER, &term));
+            txn.writes.push(Write::set(key::TERM, &term));
+            if self.sabotage == Sabotage::UnguardedElection {
+                txn.guards.clear();
+            }
+            self.lives += 1;
+            self.serial += 1;
+            let (life, number, hold) = (self.lives, self.serial, self.lives);
+            self.store.leases.insert(hold, self.now + ttl);
+            self.standing[i] = Some(Standing { life, number, sent: self.now, hold, term });
+            self.send(Message::Elect { from: i, life, number, hold, term, txn });
+        }
+    }
+
+    /// The store carries out an election, if its lease still lasts.
+    fn carry_election(&mut self, who: usize, hold: u64, term: u64, txn: &Txn) -> Option<u64> {
+        if self.now < self.outage || !self.store.leases.contains_key(&hold) {
+            return None;
         }
-        if up.is_empty() {
-            return;
+        let own = self.store.leader.is_some_and(|(w, _)| w == who);
+        let stamp = self.store.apply(txn).ok()?;
+        if term <= self.term {
+            self.broken.push(format!("term {term} was given before"));
         }
-        let who = up[self.rng.usize(0..up.len())];
-        self.term += 1;
+        self.term = self.term.max(term);
+        self.elections.0 += 1;
+        self.elections.1 += u32::from(own);
+        self.store.leader = Some((who, hold));
+        Some(stamp)
+    }
+
+    /// A controller has heard that it leads: it reads all, and begins.
+    fn begins(&mut self, who: usize, s: Standing, stamp: u64) {
         let ttl = self.policy.ttl.as_millis() as Ms;
-        self.store.lease = Some((who, self.now + ttl));
-        let mut txn = Txn::default();
-        txn.writes.push(Write::set(key::LEADER, &self.term));
-        let stamp = self.store.apply(&txn).expect("unguarded");
         let at = self.at(self.now);
-        let mut c = Cluster::new(self.term, self.policy.clone(), self.teams.clone(), at);
+        let mut c = Cluster::new(s.term, self.policy.clone(), self.teams.clone(), at);
         c.set_types(&[machine_type("t")]);
         c.manned = (0..3).filter(|z| self.unmanned != Some(*z)).map(|z| Name::from(format!("z{z}"))).collect();
         let pages: Vec<_> = self
@@ -65,14 +124,14 @@
             c.add_page(id, page, &machines, at);
         }
         c.list(&self.some_list(), at);
-        self.lives += 1;
         // an earlier leader goes on believing in itself until its time is up
         self.controllers[who] = Some(Controller {
-            until: self.now + ttl,
+            until: s.sent + ttl,
             stamp,
+            hold: s.hold,
             cluster: c,
             flying: None,
-            life: self.lives,
+            life: s.life,
             wants: vec![],
         });
     }
@@ -124,23 +183,16 @@
             let believes = self.sabotage == Sabotage::OldAuthority && self.now < c.until;
             if self.now < self.deaf[i] && self.deaf[i] - self.now < 8_000 && self.now >= self.no_renewal[i] {
                 // it has asked its siblings, and hands over
-                if self.store.lease.is_some_and(|(w, _)| w == i) {
-                    self.store.lease = None;
-                }
+                self.store.leases.remove(&c.hold);
                 continue;
             }
-            let holds = self.store.lease.is_some_and(|(w, until)| w == i && until > self.now)
-                && self.store.stamp(key::LEADER) == c.stamp;
+            let holds = self.store.leader == Some((i, c.hold)) && self.store.stamp(key::LEADER) == c.stamp;
             let reaches = self.now >= self.outage && self.now >= self.no_renewal[i];
             if reaches && !holds && !believes {
                 continue; // its lease is gone, and it hears of it
             }
-            if holds && self.now < self.outage {
-                // after an outage every lease has its full time again
-                self.store.lease = Some((i, self.outage + ttl));
-            }
             if reaches && holds && self.now.is_multiple_of(500) {
-                self.store.lease = Some((i, self.now + ttl));
+                self.store.leases.insert(c.hold, self.now + ttl);
                 c.until = self.now + ttl;
             }
             let acts = self.now < c.until;
@@ -159,6 +211,9 @@
                     }
                 }
             }
+            if self.sabotage == Sabotage::ReapsUnderOldToken {
+                c.cluster.machines.values_mut().for_each(|m| m.direct = None);
+            }
             if self.sabotage == Sabotage::NoCascade {
                 for id in c.cluster.dependency.doomed().cloned().collect::<Vec<_>>() {
                     c.cluster.dependency.started(&id);
@@ -232,6 +287,19 @@
             return;
         }
         match m {
+            Message::Elect { from, life, number, hold, term, txn } => {
+                let outcome = self.carry_election(from, hold, term, &txn);
+                // the answer may be lost
+                let outcome = if self.rng.u32(0..10) == 0 { None } else { outcome };
+                self.send(Message::Elected { to: from, life, number, outcome });
+            }
+            Message::Elected { to, life, number, outcome } => {
+                let waits = |s: &mut Standing| s.life == life && s.number == number;
+                let Some(s) = self.standing[to].take_if(waits) else { return };
+                if let Some(stamp) = outcome {
+                    self.begins(to, s, stamp);
+                }
+            }
             Message::Report { to, mut report, number } => {
                 let t = self.now;
                 if t < self.deaf[to] {
--- a/packages/core/src/sim/mod.rs
+++ b/packages/core/src/sim/mod.rs
@@ -22,7 +22,7 @@
 use crate::model::*;
 use crate::policy::Policy;
 use crate::workers::*;
-use controllers::Controller;
+use controllers::{Controller, Standing};
 use coralnotch_wire::state::{read_value, Item, Txn, Write};
 use machines::{listed, Work, Worker};
 use service::Store;
@@ -80,12 +80,19 @@
     ForgetsBegun,
     /// What needs a cancelled job is left as it is.
     NoCascade,
+    /// A reap comes under the token of the direct start that it ends.
+    ReapsUnderOldToken,
+    /// Who stands for leader does not look whether another was quicker.
+    UnguardedElection,
     /// A controller that stood still trusts the authority it had before, and
     /// its writes are not guarded on the leader key.
     OldAuthority,
 }
 
+#[derive(Clone)]
 enum Message {
+    Elect { from: usize, life: u64, number: u64, hold: u64, term: u64, txn: Txn },
+    Elected { to: usize, life: u64, number: u64, outcome: Option<u64> },
     Report { to: usize, report: Report, number: u64 },
     Answer { machine: usize, number: u64, session: u64, answer: Answer },
     Direct { from: usize, life: u64, call: Direct },
@@ -102,15 +109,33 @@
     /// The controller that sends it, if one does.
     fn sender(&self) -> Option<usize> {
         match self {
-            Message::Direct { from, .. } | Message::Txn { from, .. } | Message::Delete { from, .. } => Some(*from),
+            Message::Elect { from, .. }
+            | Message::Direct { from, .. }
+            | Message::Txn { from, .. }
+            | Message::Delete { from, .. } => Some(*from),
             _ => None,
         }
     }
 
+    /// A late copy of a request, whose answer reaches nobody.
+    fn again(&self) -> Option<Message> {
+        let mut m = self.clone();
+        match &mut m {
+            Message::Elect { life, .. }
+            | Message::Direct { life, .. }
+            | Message::Txn { life, .. }
+            | Message::Delete { life, .. } => *life = NOBODY,
+            Message::Report { number, .. } => *number = NOBODY,
+            _ => return None,
+        }
+        Some(m)
+    }
+
     /// The controller that it is for, if it is for one.
     fn receiver(&self) -> Option<usize> {
         match self {
             Message::Report { to, .. }
+            | Message::Elected { to, .. }
             | Message::DirectAnswer { to, .. }
             | Message::TxnAnswer { to, .. }
             | Message::Job { to, .. }
@@ -121,6 +146,9 @@
     }
 }
 
+/// Nobody's life, and no report's number.
+const NOBODY: u64 = u64::MAX;
+
 struct World {
     rng: fastrand::Rng,
     t0: Instant,
@@ -130,7 +158,13 @@
     store: Store,
     workers: Vec<Worker>,
     controllers: Vec<Option<Controller>>,
+    /// Who stands for leader, and waits for an answer.
+    standing: [Option<Standing>; 3],
+    /// Elections that were carried out, and takings-over of an earlier life's key.
+    elections: (u32, u32),
     down_until: Vec<Ms>,
+    /// When controllers end once more.
+    kills: Vec<(Ms, usize)>,
     no_renewal: Vec<Ms>,
     outage: Ms,
     /// Until when each controller stands still while its clocks run on: what
@@ -194,7 +228,10 @@
             store: Store::default(),
             workers,
             controllers: vec![None, None, None],
+            standing: [None; 3],
+            elections: (0, 0),
             down_until: vec![0; 3],
+            kills: Vec::new(),
             no_renewal: vec![0; 3],
             outage: 0,
             frozen: [0; 3],
@@ -242,7 +279,14 @@
         self.serial += 1;
         // a sender that stands still has not sent it yet
         let leaves = m.sender().map_or(self.now, |i| self.frozen[i].max(self.now));
+        // a request may arrive once more, late, when nobody waits for an answer
+        let again = (self.rng.u32(0..30) == 0).then(|| m.again()).flatten();
         self.mail.insert((leaves + delay, self.serial), m);
+        if let Some(m) = again {
+            self.serial += 1;
+            let late = self.rng.u64(1..600) * STEP;
+            self.mail.insert((leaves + delay + late, self.serial), m);
+        }
     }
 
     /// What the watch shows: one that hangs is opened anew within a third of
@@ -324,18 +368,26 @@
         }
     }
 
+    /// A controller's process ends; what it had sent is still under way.
+    fn ends(&mut self, i: usize) {
+        (self.controllers[i], self.standing[i]) = (None, None);
+        let back = if self.rng.bool() { 200 } else { 3000 };
+        self.down_until[i] = self.now + back;
+        self.frozen[i] = 0;
+    }
+
     fn trouble(&mut self) {
         let t = self.now;
         match self.rng.u32(0..13) {
             0 => {
+                // often it is back at once, and ends again in its first steps
                 let i = self.rng.usize(0..3);
-                self.controllers[i] = None;
-                self.down_until[i] = t + 3000;
-            }
-            1 => {
-                self.controllers = vec![None, None, None];
-                self.down_until = vec![t + 3000; 3];
+                self.ends(i);
+                for n in 1..=self.rng.u64(0..4) {
+                    self.kills.push((t + n * self.rng.u64(3..15) * STEP, i));
+                }
             }
+            1 => (0..3).for_each(|i| self.ends(i)),
             2 => self.outage = t + self.rng.u64(10..150) * STEP,
             3 | 4 => {
                 let i = self.rng.usize(0..3);
@@ -402,6 +454,8 @@
                     w.sick = false;
                 }
             }
+            let due = self.kills.extract_if(.., |k| k.0 <= self.now).collect::<Vec<_>>();
+            due.into_iter().for_each(|(_, i)| self.ends(i));
             self.gives_up();
             self.controllers_step();
             self.workers_step();
@@ -415,16 +469,18 @@
 
 #[test]
 fn the_rules_hold_through_troubles() {
-    let (mut done, mut chained) = (0, 0);
+    let (mut done, mut chained, mut taken) = (0, 0, 0);
     for seed in 0..40 {
         let w = World::new(seed, Sabotage::None).run(240_000, 180_000);
         assert!(w.broken.is_empty(), "seed {seed} at {} ms: {:?}", w.now, w.broken);
         let through = || w.jobs.values().filter(|j| w.store.fate(&j.0.id) == Some(Fate::Done));
         done += through().count();
+        taken += w.elections.1;
         chained += through().filter(|j| !j.0.needs.is_empty()).count();
     }
     // the checker had something to check
     assert!(done > 250 && chained > 25, "only {done} jobs came through, {chained} of them had waited for others");
+    assert!(taken > 20, "only {taken} controllers came back while they still led");
 }
 
 /// Each invariant, broken on purpose, is noticed: the checker is not blind.
@@ -440,6 +496,8 @@
         Sabotage::EarlyRelease,
         Sabotage::ForgetsBegun,
         Sabotage::NoCascade,
+        Sabotage::ReapsUnderOldToken,
+        Sabotage::UnguardedElection,
         Sabotage::OldAuthority,
     ] {
         let seen = (0..40).any(|seed| !World::new(seed, s).run(240_000, 180_000).broken.is_empty());
--- a/packages/core/src/sim/service.rs
+++ b/packages/core/src/sim/service.rs
@@ -1,4 +1,4 @@
-//! The state service: keys with stamps, one lease.
+//! The state service: keys with stamps, and the leader's lease.
 
 use std::collections::BTreeMap;
 
@@ -8,10 +8,22 @@
 pub(super) struct Store {
     pub(super) kv: BTreeMap<String, (rmpv::Value, u64)>,
     pub(super) epoch: u64,
-    pub(super) lease: Option<(usize, Ms)>,
+    /// Leases, by when they end.
+    pub(super) leases: BTreeMap<u64, Ms>,
+    /// Whose lease the leader key hangs on.
+    pub(super) leader: Option<(usize, u64)>,
 }
 
 impl Store {
+    /// Ends what has run out; the leader key goes with its lease.
+    pub(super) fn expire(&mut self, now: Ms) {
+        self.leases.retain(|_, until| *until > now);
+        if self.leader.is_some_and(|(_, hold)| !self.leases.contains_key(&hold)) {
+            self.leader = None;
+            self.kv.remove(key::LEADER);
+            self.epoch += 1;
+        }
+    }
     pub(super) fn stamp(&self, path: &str) -> u64 {
         self.kv.get(path).map_or(0, |v| v.1)
     }
--- a/packages/core/src/workers.rs
+++ b/packages/core/src/workers.rs
@@ -154,8 +154,8 @@
         let Some(m) = self.machines.get_mut(&r.machine).filter(|m| m.gone.is_none()) else {
             return Answer { token: base, orders };
         };
-        let token = base + m.fence;
         m.answering = false;
+        let token = base + m.fence;
         if (m.session, m.tally) != (r.session, r.tally) {
             // newer news is in; the next answer has the commands
             return Answer { token, orders };
@@ -165,6 +165,12 @@
         for (task, attempt) in m.exited.iter().filter(|_| m.doubt.is_none()) {
             orders.push(Command::Reap { task: task.clone(), attempt: *attempt });
         }
+        // nor may a late copy of one that was answered do that: with the reap
+        // comes a token above the one that such a start left under
+        if !orders.is_empty() && m.direct.is_some_and(|d| d >= m.fence) {
+            m.fence += 1;
+        }
+        let token = base + m.fence;
         for (task, p) in &m.tasks {
             if let (Some(grace), true) = (p.halt, p.phase != Phase::Ordered) {
                 let grace = if p.phase == Phase::Flushing { continue_save(p, grace, now) } else { Some(grace) };
@@ -240,6 +246,7 @@
                 m.flying = true;
                 if starts {
                     m.doubt = Some(token);
+                    m.direct = Some(m.fence);
                 }
                 let body = DirectBody { token, session: m.session, orders };
                 calls.push(Direct { machine: m.name.clone(), address, body });
