--- a/packages/emulator/src/faults.rs
+++ b/packages/emulator/src/faults.rs
@@ -49,6 +49,21 @@
         /// How long.
         lasts: Duration,
     },
+    /// The state service's limits are these from then on.  The settings of all
+    /// controllers say so from the start, as `state.next`.
+    StateLimits {
+        /// Puts and deletes a second.
+        write_rps: usize,
+        /// KiB a value.
+        value_kb: usize,
+        /// Puts and deletes a transaction.
+        txn_ops: usize,
+    },
+    /// A controller's process is killed and comes back with the new program.
+    Upgrade {
+        /// Its number.
+        node: usize,
+    },
     /// So many machines die, with no sign.
     KillMachines {
         /// How many.
@@ -134,6 +149,12 @@
             "delay" => {
                 Some(Fault::Delay { by: Duration::from_millis(whole("by_ms", 1, 60_001) as u64), lasts: length })
             }
+            "state-limits" => Some(Fault::StateLimits {
+                write_rps: whole("write_rps", 1, 100_000),
+                value_kb: whole("value_kb", 1, 10_000),
+                txn_ops: whole("txn_ops", 4, 10_000),
+            }),
+            "upgrade" => Some(Fault::Upgrade { node: whole("node", 0, nodes as i64) }),
             "state-outage" => Some(Fault::StateOutage { lasts: length }),
             "cloud-outage" => Some(Fault::CloudOutage { lasts: length }),
             "kill-machines" => Some(Fault::KillMachines { count: whole("count", 1, 10_000) }),
@@ -143,7 +164,7 @@
         match fault {
             Some(fault) => plan.push(Planned { at, fault }),
             None => wrong.push(format!(
-                "fault {}: kind {kind:?} is none of crash, down, refused, delay, state-outage, cloud-outage, kill-machines, spot-wave",
+                "fault {}: kind {kind:?} is none of crash, down, refused, delay, state-outage, state-limits, upgrade, cloud-outage, kill-machines, spot-wave",
                 i + 1
             )),
         }
@@ -175,6 +196,10 @@
         assert_eq!(plan[0], Planned { at: Duration::from_millis(1500), fault: outage });
         assert_eq!(plan[1].fault, Fault::Crash { node: 2 });
         assert_eq!(parse("", 3), Ok(Vec::new()));
+        let text = "[[fault]]\nkind = \"state-limits\"\nat_s = 3\nwrite_rps = 28\nvalue_kb = 2\ntxn_ops = 8\n[[fault]]\nkind = \"upgrade\"\nat_s = 1\nnode = 1\n";
+        let plan = parse(text, 3).expect("a good plan");
+        assert_eq!(plan[0].fault, Fault::Upgrade { node: 1 });
+        assert_eq!(plan[1].fault, Fault::StateLimits { write_rps: 28, value_kb: 2, txn_ops: 8 });
     }
 
     #[test]
--- a/packages/emulator/src/load.rs
+++ b/packages/emulator/src/load.rs
@@ -353,6 +353,7 @@
 pub fn run(s: &Scenario, controller: Option<PathBuf>) -> Result<Report, Error> {
     let plan = faults::plan(s.faults.clone(), 3).map_err(Error::Input)?;
     let options = Options {
+        upgrade: None,
         port: 0,
         controller,
         dir: None,
--- a/packages/emulator/src/state.rs
+++ b/packages/emulator/src/state.rs
@@ -177,6 +177,13 @@
 }
 
 impl State {
+    /// Other limits from now on, without notice; what is stored stays readable.
+    pub fn limit(&mut self, limits: Limits) {
+        self.limits = limits;
+        self.calls = Rate::new(limits.rps, limits.rps);
+        self.writes = Rate::new(limits.write_rps, limits.write_rps);
+    }
+
     /// An empty service with these limits.
     pub fn new(limits: Limits) -> State {
         State {
--- a/packages/emulator/src/up.rs
+++ b/packages/emulator/src/up.rs
@@ -51,6 +51,10 @@
     /// The controller program; beside this program if not given.
     #[arg(long)]
     pub controller: Option<PathBuf>,
+    /// The program that a controller comes back with after a fault `upgrade`;
+    /// the same if not given.
+    #[arg(long)]
+    pub upgrade: Option<PathBuf>,
     /// Directory for settings and logs; a new one under the temporary
     /// directory if not given.
     #[arg(long)]
@@ -150,6 +154,11 @@
 /// Controllers' processes; they end with this.
 struct Processes {
     program: PathBuf,
+    /// What it is after an upgrade, and who had that.
+    upgrade: PathBuf,
+    upgraded: Vec<bool>,
+    /// The state service's limits now.
+    limits: Limits,
     dir: PathBuf,
     running: Vec<Option<Child>>,
     ended: Vec<Option<Instant>>,
@@ -163,14 +172,15 @@
         let log = self.dir.join(format!("node-{i}.log"));
         let open = fs::OpenOptions::new().create(true).append(true).open(&log);
         let log = tried(log.display().to_string(), open)?;
-        let child = Command::new(&self.program)
+        let program = if self.upgraded[i] { &self.upgrade } else { &self.program };
+        let child = Command::new(program)
             .args(["serve", "--config"])
             .arg(&settings)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
             .spawn();
-        self.running[i] = Some(tried(self.program.display().to_string(), child)?);
+        self.running[i] = Some(tried(program.display().to_string(), child)?);
         Ok(())
     }
 
@@ -229,8 +239,36 @@
     vec![one("small", 4.0, 0.4), one("large", 16.0, 1.5)]
 }
 
+/// Limits as a fault makes them.
+fn later(limits: &mut Limits, fault: Fault) {
+    if let Fault::StateLimits { write_rps, value_kb, txn_ops } = fault {
+        (limits.write_rps, limits.value_kb, limits.txn_ops) = (write_rps as f64, value_kb as f64, txn_ops);
+    }
+}
+
+/// What the settings say of limits that come later.
+fn next(plan: &VecDeque<Planned>, size: &Size) -> String {
+    let mut limits = size.limits();
+    for p in plan.iter().filter(|p| matches!(p.fault, Fault::StateLimits { .. })) {
+        let mut l = limits;
+        later(&mut l, p.fault);
+        limits.write_rps = limits.write_rps.min(l.write_rps);
+        limits.value_kb = limits.value_kb.min(l.value_kb);
+        limits.txn_ops = limits.txn_ops.min(l.txn_ops);
+    }
+    let Limits { write_rps, value_kb, txn_ops, .. } = limits;
+    format!("[deployment.state.next]\nwrite_rps = {write_rps:?}\nvalue_kb = {value_kb:?}\ntxn_ops = {txn_ops}\n\n")
+}
+
 /// The settings file of controller `i`.
-fn settings(i: usize, binds: &[(SocketAddr, SocketAddr)], state: SocketAddr, cloud: SocketAddr, size: &Size) -> String {
+fn settings(
+    i: usize,
+    binds: &[(SocketAddr, SocketAddr)],
+    state: SocketAddr,
+    cloud: SocketAddr,
+    size: &Size,
+    next: &str,
+) -> String {
     let siblings: String = (0..binds.len())
         .filter(|j| *j != i)
         .map(|j| {
@@ -245,7 +283,7 @@
          [deployment]\nsize = {}\nzones = {ZONES:?}\n\n[[deployment.teams]]\nname = \"demo\"\n\n\
          [deployment.workers]\nreport_s = {REPORT_S:?}\nlease_s = {LEASE_S:?}\ngang_wait_s = {GANG_WAIT_S:?}\n\
          gang_peer_s = {GANG_PEER_S:?}\ncancel_s = {CANCEL_S:?}\n\n\
-         [deployment.state]\nrps = {rps:?}\nwrite_rps = {write_rps:?}\nvalue_kb = {value_kb:?}\ntxn_ops = {txn_ops}\n\n\
+         [deployment.state]\nrps = {rps:?}\nwrite_rps = {write_rps:?}\nvalue_kb = {value_kb:?}\ntxn_ops = {txn_ops}\n\n{next}\
          [deployment.cloud]\nrps = {CLOUD_RPS:?}\nlist_lag_s = {LIST_LAG_S:?}\n\n\
          [deployment.quota]\ncores = {cores:?}\nram_mb = 136.0\nfd_limit = {sockets}\n",
         ZONES[i],
@@ -331,6 +369,14 @@
     let (now, w) = (Instant::now(), world.clone());
     match fault {
         Fault::Crash { node } => nodes.crash(node),
+        Fault::Upgrade { node } => {
+            nodes.upgraded[node] = true;
+            nodes.crash(node);
+        }
+        Fault::StateLimits { .. } => {
+            later(&mut nodes.limits, fault);
+            world.state.borrow_mut().limit(nodes.limits);
+        }
         Fault::Down { lasts } => {
             nodes.down_until = Some(now + lasts);
             (0..nodes.running.len()).for_each(|i| nodes.crash(i));
@@ -415,7 +461,7 @@
             let file = dir.join(format!("node-{i}.toml"));
             tried(
                 file.display().to_string(),
-                fs::write(&file, settings(i, &binds, addr(on)?, cloud_at, &options.size)),
+                fs::write(&file, settings(i, &binds, addr(on)?, cloud_at, &options.size, &next(&plan, &options.size))),
             )?;
         }
         let mut rng = Rng::with_seed(options.seed);
@@ -440,6 +486,9 @@
         ex.spawn(world.clone().balance(ex.clone(), users_on)).detach();
         let none = || binds.iter().map(|_| None).collect();
         let mut nodes = Processes {
+            upgrade: options.upgrade.clone().unwrap_or_else(|| program.clone()),
+            upgraded: vec![false; binds.len()],
+            limits: options.size.limits(),
             program,
             dir: dir.clone(),
             running: none(),
--- a/packages/emulator/src/yard.rs
+++ b/packages/emulator/src/yard.rs
@@ -388,6 +388,9 @@
                     return work;
                 }
                 self.check(name, task, spec);
+                if let Some(n) = spec.needs.iter().find(|n| !self.completed.contains_key(*n)) {
+                    self.broken.push(format!("too_early: {task} starts before {n} is done"));
+                }
                 if self.done.get(&task.job).is_some_and(|d| d.contains(&task.index)) {
                     ended(Cause::Done, None)
                 } else if gang.is_some() {
--- a/tests/exactly_once.rs
+++ b/tests/exactly_once.rs
@@ -4,6 +4,8 @@
 //!
 //! The long run: `cargo test --release --test exactly_once -- --ignored --nocapture`
 
+mod common;
+
 use std::collections::{HashMap, HashSet};
 use std::fs;
 use std::net::SocketAddr;
@@ -12,72 +14,12 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use common::{dir, job, stored, Cluster, PROGRAM};
 use coralnotch::http::{self, Client};
-use coralnotch::model::{JobState, Name, Spec};
-use coralnotch::store::key;
+use coralnotch::model::{JobState, Name};
 use coralnotch::submit::Line;
 use coralnotch_client::{fresh_id, Final};
 use coralnotch_emulator::history::{self, Given};
-use coralnotch_emulator::up::{up, Options, Report, Size};
-
-const PROGRAM: &str = env!("CARGO_BIN_EXE_coralnotch");
-
-/// A directory of its own for a test.
-fn dir(name: &str) -> PathBuf {
-    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()));
-    let _ = fs::remove_dir_all(&dir);
-    fs::create_dir_all(&dir).expect("a directory for the test");
-    dir
-}
-
-/// A cluster on a thread of its own.
-struct Cluster {
-    addr: SocketAddr,
-    stop: smol::channel::Sender<()>,
-    thread: thread::JoinHandle<Result<Report, String>>,
-}
-
-impl Cluster {
-    fn start(dir: &Path, faults: &str, capacity: usize) -> Cluster {
-        let file = dir.join("faults.toml");
-        fs::write(&file, faults).expect("a plan");
-        let options = Options {
-            port: 0,
-            controller: Some(PROGRAM.into()),
-            dir: Some(dir.into()),
-            seed: 7,
-            capacity,
-            demo: false,
-            faults: Some(file),
-            size: Size::default(),
-            plan: Vec::new(),
-            exit: false,
-        };
-        let (stop, stopped) = smol::channel::bounded(1);
-        let (told, ready) = std::sync::mpsc::channel();
-        let thread = thread::spawn(move || {
-            up(&options, stopped, move |a| told.send(a).expect("it is awaited")).map_err(|e| e.to_string())
-        });
-        let addr = ready.recv().expect("the cluster gets ready");
-        Cluster { addr, stop, thread }
-    }
-
-    fn stop(self) -> Report {
-        let _ = self.stop.try_send(());
-        self.thread.join().expect("no panic").expect("no rule broken")
-    }
-}
-
-fn job(id: Name) -> Spec {
-    Spec {
-        class: "demo".into(),
-        team: "demo".into(),
-        cpus: 0.5,
-        image_gb: 0.1,
-        estimate_s: 0.5,
-        ..(*coralnotch_wire::example::spec(&id, 1)).clone()
-    }
-}
 
 /// Jobs without ids, a line each.
 fn input(file: &Path, jobs: usize) {
@@ -174,10 +116,6 @@
     history::check(jobs, &given, Some(stored), completed)
 }
 
-fn stored(r: &Report) -> HashSet<Name> {
-    r.keys.iter().filter_map(|k| k.strip_prefix(key::JOB)).map(Name::from).collect()
-}
-
 /// Runs clients until all have ended, killing one at each of these times;
 /// when each answer was first seen.
 fn play(clients: &mut [Submitter], mut kills: Vec<(f64, usize)>, limit: Duration) -> HashMap<Name, Instant> {
