show says what a job waits for; transactions that are too large shrink; 503 over size

A transaction that the service refuses with 400 was built again unchanged for ever: the leader's pages get smaller until it fits. A submission that no value holds under the lesser limits is refused for now instead of ending in a 400. GET ...?why tells which unfinished jobs a job waits for, or which cancelled job it ended with; show prints it.

--- a/packages/core/src/commit.rs
+++ b/packages/core/src/commit.rs
@@ -167,6 +167,19 @@
     pub value_bytes: usize,
 }
 
+impl TxnLimits {
+    /// Three quarters of it, but room for an end and a page with a few starts.
+    pub fn smaller(self) -> TxnLimits {
+        let less = |n: usize, least: usize| (n / 4 * 3).max(least.min(n));
+        TxnLimits {
+            writes: less(self.writes, 3),
+            guards: less(self.guards, 12),
+            page_bytes: less(self.page_bytes, 512),
+            value_bytes: less(self.value_bytes, 512),
+        }
+    }
+}
+
 /// A transaction and what its success means.
 #[derive(Debug, Default)]
 pub struct Batch {
--- a/packages/wire/src/model.rs
+++ b/packages/wire/src/model.rs
@@ -307,6 +307,20 @@
     pub running: u32,
 }
 
+/// A job's state with what it has to do with other jobs, for people who ask why.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Explained {
+    /// Its state.
+    #[serde(flatten)]
+    pub state: JobState,
+    /// Unfinished jobs that it waits for, as far as the controller knows.
+    #[serde(rename = "awaits", default)]
+    pub waits_for: Vec<Name>,
+    /// The cancelled job that it needs, if it is cancelled.
+    #[serde(rename = "cancelledWith", default)]
+    pub cancelled_with: Option<Name>,
+}
+
 /// A machine type as the cloud describes it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct MachineType {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -147,7 +147,7 @@
 
 /// Runs a command against a running controller.
 fn ask(command: &Command) -> ExitCode {
-    use crate::client::{job_text, print, status_text, Controller, Error};
+    use crate::client::{explained_text, job_text, print, status_text, Controller, Error};
     let at = |to: &To| Controller::new(to.node, Duration::from_secs(to.patience));
     let done = smol::block_on(async {
         Ok(match command {
@@ -155,7 +155,7 @@
                 let at = at(to);
                 let mut last = None;
                 loop {
-                    let s = at.show(id).await?;
+                    let s = at.show(id).await?.state;
                     if s.stage == "done" || s.stage == "cancelled" {
                         break print(&s, to.json, job_text);
                     }
@@ -166,7 +166,7 @@
                     smol::Timer::after(FOLLOW_EVERY).await;
                 }
             }
-            Command::Show { id, to } => print(&at(to).show(id).await?, to.json, job_text),
+            Command::Show { id, to } => print(&at(to).show(id).await?, to.json, explained_text),
             Command::Withdraw { id, to } => print(&at(to).withdraw(id).await?, to.json, job_text),
             Command::Status { to } => print(&at(to).status().await?, to.json, status_text),
             Command::Serve { .. } | Command::Check { .. } | Command::Submit { .. } => String::new(),
--- a/src/client.rs
+++ b/src/client.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::http::{self, Client};
-use crate::model::{valid_id, JobState};
+use crate::model::{valid_id, Explained, JobState};
 use crate::telemetry::Status;
 
 /// Why a command came to nothing.
@@ -85,8 +85,8 @@
     }
 
     /// How a job stands.
-    pub async fn show(&self, id: &str) -> Result<JobState, Error> {
-        self.ask("GET", &format!("/v2/runs/{}", checked(id)?), None).await
+    pub async fn show(&self, id: &str) -> Result<Explained, Error> {
+        self.ask("GET", &format!("/v2/runs/{}?why", checked(id)?), None).await
     }
 
     /// Withdraws a job.
@@ -123,6 +123,19 @@
     }
 }
 
+/// A job's state and what it has to do with others, in words.
+pub fn explained_text(e: &Explained) -> String {
+    let mut text = job_text(&e.state);
+    if !e.waits_for.is_empty() {
+        let names: Vec<&str> = e.waits_for.iter().map(|n| &**n).collect();
+        text += &format!("; it waits for {}", names.join(", "));
+    }
+    if let Some(n) = &e.cancelled_with {
+        text += &format!(" with {n}, which it needs");
+    }
+    text
+}
+
 /// A controller's status in words.
 pub fn status_text(s: &Status) -> String {
     let mut lines = vec![format!("{} (version {})", s.name, s.version)];
@@ -183,6 +196,23 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn a_job_says_what_it_waits_for() {
+        let state = |stage: &str| JobState { id: "j-3".into(), stage: stage.into(), done: 0, running: 0 };
+        let told = |e: &Explained| {
+            let back: Explained = http::decode(&http::encode(e)).expect("our own bytes");
+            assert_eq!(back, *e);
+            explained_text(&back)
+        };
+        let waits = Explained { state: state("pending"), waits_for: vec!["j-1".into()], cancelled_with: None };
+        assert!(told(&waits).ends_with("; it waits for j-1"));
+        let over = Explained { state: state("cancelled"), waits_for: vec![], cancelled_with: Some("j-1".into()) };
+        assert_eq!(told(&over), "j-3 is cancelled with j-1, which it needs");
+        // a controller of an earlier version answers without the rest
+        let plain: Explained = http::decode(&http::encode(&state("pending"))).expect("an earlier answer");
+        assert_eq!(plain.waits_for, [] as [crate::model::Name; 0]);
+    }
+
     #[test]
     fn ids_are_checked_before_anything_is_sent() {
         assert!(checked("j-000412").is_ok());
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -34,6 +34,13 @@
 /// A user waits 2 s for a query.
 const QUERY_LIMIT: Duration = Duration::from_millis(1700);
 
+/// Most bytes that a submission takes in the store, in the form that is counted.
+fn stored_bytes(spec: &Spec) -> usize {
+    // a quarter for commas and colons, and what numbers need as text
+    let bytes = http::encode(spec).len();
+    bytes + bytes / 4 + 128
+}
+
 impl Node {
     /// Answers one request.
     pub async fn handle(self: Arc<Self>, r: Request) -> Response {
@@ -97,7 +104,7 @@
         }
         let (answer, what) = match (r.method.as_str(), withdraw) {
             ("POST", true) => (self.withdraw(id).await, Timed::Withdrawal),
-            ("GET", false) => (self.query(id).await, Timed::Query),
+            ("GET", false) => (self.query(id, r.query == "why").await, Timed::Query),
             _ => return Response::refuse(405, "wrong method"),
         };
         self.telemetry.took(what, began.elapsed());
@@ -301,7 +308,7 @@
         };
         // a repeat is recognised before anything is said against it
         if known {
-            return self.query(&spec.id).await;
+            return self.query(&spec.id, false).await;
         }
         if !ready {
             return Response::refuse(503, "not ready");
@@ -313,6 +320,9 @@
                 None => Response::refuse(503, "the state service does not answer"),
             };
         }
+        if stored_bytes(&spec) > self.store.most.value_bytes {
+            return Response::refuse(503, "larger than the state service takes now");
+        }
         let doomed = match self.judge_needs(&spec).await {
             Ok(doomed) => doomed,
             Err(r) => return r,
@@ -682,12 +692,36 @@
         jobs
     }
 
-    async fn query(&self, id: &str) -> Response {
+    /// What a job has to do with other jobs, as far as is known here.
+    fn explained(&self, state: JobState) -> Explained {
+        let mut i = self.lock();
+        let spec = match i.ledger.standing(&state.id) {
+            Standing::Open(o) => Some(o.spec),
+            Standing::Ended(e) => Some(e.spec),
+            Standing::Unknown => None,
+        };
+        let needs = spec.map(|s| s.needs.clone()).unwrap_or_default();
+        let cancelled = state.stage == Fate::Cancelled.word();
+        let of = |n: &&Name| i.ledger.fate(n) == Some(Fate::Cancelled);
+        let cancelled_with = needs.iter().filter(|_| cancelled).find(of).cloned();
+        let open = |n: &Name| matches!(i.ledger.standing(n), Standing::Open(_));
+        let waits_for = needs.into_iter().filter(open).filter(|_| !cancelled).collect();
+        Explained { state, waits_for, cancelled_with }
+    }
+
+    async fn query(&self, id: &str, why: bool) -> Response {
         if !valid_id(id) {
             return Response::refuse(404, "no such job");
         }
         match self.find(id).await {
             Some(Found::Never) => Response::refuse(404, "no such job"),
+            Some(found) if why => {
+                let answer = self.told(id, found).await;
+                match http::decode::<JobState>(&answer.body).ok().filter(|_| answer.status == 200) {
+                    Some(state) => Response::new(200, &self.explained(state)),
+                    None => answer,
+                }
+            }
             Some(found) => self.told(id, found).await,
             None => Response::refuse(503, "the state service does not answer"),
         }
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -196,8 +196,9 @@
 
     /// Stores what there is to store, one transaction at a time.
     async fn commits(&self, a: Authority) -> &'static str {
+        let mut most = self.store.most;
         loop {
-            let batch = self.lock().cluster.as_mut().and_then(|c| c.next_batch(a.stamp, &self.store.most));
+            let batch = self.lock().cluster.as_mut().and_then(|c| c.next_batch(a.stamp, &most));
             let Some(batch) = batch else {
                 self.to_commit.wait(Duration::from_millis(500)).await;
                 continue;
@@ -245,6 +246,12 @@
                     if let Some(c) = self.lock().cluster.as_mut() {
                         c.not_committed(batch);
                     }
+                    if matches!(e, Error::Refused(400)) {
+                        // larger than the service takes, whatever the settings
+                        // say: the same again would be refused again
+                        most = most.smaller();
+                        tracing::error!("a transaction is too large: from now on pages of {} bytes", most.page_bytes);
+                    }
                     smol::Timer::after(self.policy.renew / 4).await;
                 }
             }
--- a/tests/cluster.rs
+++ b/tests/cluster.rs
@@ -6,6 +6,7 @@
 
 fn options(dir: &str) -> Options {
     Options {
+        upgrade: None,
         port: 0,
         controller: Some(PathBuf::from(env!("CARGO_BIN_EXE_coralnotch"))),
         dir: Some(PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(dir)),
