--- a/packages/core/src/cluster/job.rs
+++ b/packages/core/src/cluster/job.rs
@@ -187,6 +187,13 @@
         (!self.guaranteed && rank != Rank::Production, rank)
     }
 
+    /// Part of a chain that has a deadline: it needs others, or others wait for
+    /// it, and one of them is due.
+    pub fn chained(&self) -> bool {
+        let own = self.spec.needs.is_empty() && self.urgency.due == Urgency::own(&self.spec, self.known).due;
+        self.urgency.due.is_some() && !own
+    }
+
     /// Puts a task back into the queue if nothing keeps it from there.
     pub fn requeue(&mut self, index: u32) {
         if self.fate.is_none()
--- a/packages/core/src/fleet.rs
+++ b/packages/core/src/fleet.rs
@@ -192,6 +192,22 @@
         room.count(&spec.size(), 1000)
     }
 
+    /// How many tasks of a job's class are likely to come while a machine boots, by
+    /// what has come lately.  What was there when this leader began tells nothing:
+    /// it may have come over any time.
+    fn likely(&self, spec: &Spec, now: Instant) -> f64 {
+        let boot = self.types.values().map(|t| t.boot_s).fold(f64::INFINITY, f64::min);
+        let from = self.began + self.policy.ttl;
+        let since = |t: Instant| now.saturating_duration_since(t).as_secs_f64();
+        let window = since(from).min(self.policy.horizon_s);
+        if window < boot / 2.0 || !boot.is_finite() {
+            return 0.0;
+        }
+        let lately = |j: &&Job| j.spec.class == spec.class && j.known > from && since(j.known) < window;
+        let came: u32 = self.jobs.values().filter(lately).map(|j| j.spec.tasks).sum();
+        f64::from(came) * boot / window
+    }
+
     fn all_ready_room(&self, spec: &Spec, now: Instant) -> usize {
         self.machines.values().map(|m| self.ready_room(m, spec, now)).sum()
     }
@@ -477,31 +493,45 @@
         }
         // arrays share what already runs arrays: only the work that these
         // places cannot get through in time asks for more
-        let mut array_places = self
+        let array_places = self
             .machines
             .values()
             .flat_map(|m| m.tasks.values())
             .filter(|p| p.present() && p.spec.shape == Shape::Array && p.halt.is_none())
             .count() as f64;
+        let (mut places, mut spot_places) = (array_places, array_places);
         let mut new: BTreeMap<Pool, u32> = BTreeMap::new();
         let mut wants = wants.to_vec();
         for spec in self.urgent() {
             let room = self.all_ready_room(&spec, now);
-            let count = self.policy.urgent_room.saturating_sub(room) as u32;
+            let likely = self.likely(&spec, now).ceil() as usize;
+            let count = likely.max(self.policy.urgent_room).saturating_sub(room).min(u32::MAX as usize) as u32;
+            // it stands for several jobs: its own share of a zone is not theirs
+            let spec = std::sync::Arc::new(Spec { tasks: count.max(spec.tasks), ..(*spec).clone() });
             // first, or arrays would fill what is on its way in every pass
             wants.insert(0, Want { spec, count, zones: BTreeMap::new() });
         }
         for w in &wants {
             let spec = &w.spec;
             let size = spec.size();
-            let mut count = w.count;
+            let (mut count, mut spot_only) = (w.count, 0);
             if spec.shape == Shape::Array && !self.jobs.get(&spec.id).is_some_and(|j| j.guaranteed) {
                 let bias = self.bias.get(&spec.class).copied().unwrap_or(1.0);
                 let each = (spec.estimate_s * bias).max(1.0);
-                let slots = f64::from(w.count) * (each / policy.horizon_s).min(1.0);
-                let served = array_places.min(slots);
-                array_places -= served;
-                count = (slots - served).ceil() as u32;
+                let lacks = |places: &mut f64, slots: f64| {
+                    let served = places.min(slots);
+                    *places -= served;
+                    ((slots - served).ceil() as u32).min(w.count)
+                };
+                let waiting = f64::from(w.count);
+                count = lacks(&mut places, waiting * (each / policy.horizon_s).min(1.0));
+                if spec.spot {
+                    // spot machines cost so little that waiting for less is worth
+                    // one: a place is free again only after what runs there now
+                    let most = lacks(&mut spot_places, waiting * each / policy.spot_horizon_s);
+                    spot_only = most.saturating_sub(count);
+                    count = count.max(most);
+                }
             }
             let mut zones = w.zones.clone();
             // how many more the job may have in the zone of a pool
@@ -531,7 +561,9 @@
             while count > 0 {
                 // by the share of a machine that the task takes
                 let unit = |t: &MachineType| t.size().holds(&size).then(|| t.size().count(&size, 1000).max(1) as f64);
-                let allowed = |p: &Pool| most(p, &zones, 1) > 0 && !(p.2 && spec.shape == Shape::Service);
+                let allowed = |p: &Pool| {
+                    most(p, &zones, 1) > 0 && !(p.2 && spec.shape == Shape::Service) && (p.2 || count > spot_only)
+                };
                 let Some((pool, mut free)) = self.cheapest(&per_zone, now, unit, allowed) else { break };
                 let n = (free.count(&size, most(&pool, &zones, count) as usize) as u32).max(1);
                 free.take(&size.times(f64::from(n)));
--- a/packages/core/src/placement/pass.rs
+++ b/packages/core/src/placement/pass.rs
@@ -301,7 +301,9 @@
         let failed = !ask.job.failed_on.is_empty() && ask.job.failed_on.contains(&m.name);
         // where a fetch is needed anyway, a fresh one warms a machine more
         let (wait, fetching) = self.image_wait(ask, slot);
-        let dear = ask.job.spec.spot && !m.spot;
+        // under a deadline a task that is lost with its machine costs more than
+        // the room that an ordinary one has left
+        let dear = ask.job.spec.spot && m.spot == ask.job.chained();
         (failed, (wait / patience).floor() as u64, dear, (wait / grain).ceil() as u64, fetching)
     }
 
--- a/packages/policy/src/policy/mod.rs
+++ b/packages/policy/src/policy/mod.rs
@@ -160,6 +160,9 @@
     urgent_room: usize as usize, 0.0 ..= 1000.0;
     /// Queued work of arrays is to be done within this, in seconds.
     horizon_s: f64 as Seconds, 1.0 ..= 86400.0;
+    /// … and if its jobs may use spot machines, these come for what waits longer
+    /// than this.
+    spot_horizon_s: f64 as Seconds, 0.1 ..= 86400.0;
     /// Rest of a machine or a job after a failure, doubled by each further.
     failure_rest: Duration as Duration, 0.0 ..= 600.0;
     /// Within this a cancelled job's tasks have to be gone.
