Gate: a record outlasts a cut, so that chains need not wait for one that is cut off

A controller that has shown the feature and is then cut off with its zone, or down, kept the gate shut for the length of the cut, and users give up after 60 s. It comes back as the version that it was; its word still contradicts its record.

--- a/src/gates.rs
+++ b/src/gates.rs
@@ -2,7 +2,7 @@
 //! siblings, and the leader opens the gate.  Whether all have it is decided in
 //! core; here it is only shown, heard and stored.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use coralnotch_core::gate::{Gates, Member, Shown, CHAINS, KNOWN};
 
@@ -11,6 +11,9 @@
 use crate::siblings::lock;
 use crate::store::{key, read_value, Error, Outcome, Txn, Write};
 
+/// The state service gives no longer lease.
+const LONGEST_LEASE: Duration = Duration::from_secs(600);
+
 /// This program's version.
 pub(crate) const VERSION: &str = env!("CARGO_PKG_VERSION");
 
@@ -52,9 +55,9 @@
         }
     }
 
-    /// Leaves a record of what this controller has, for as long as it runs and
-    /// not all is on.  It hangs on a lease of its own: one that was replaced by
-    /// an earlier version vouches for nothing.
+    /// Leaves a record of what this controller has, until all is on.  It hangs on a
+    /// lease of its own, which outlasts a cut: a controller that is cut off, or down
+    /// for a moment, is still the version that it was.
     pub async fn show(&self) {
         let mut hold = None;
         // what is on is known only once the store has been read
@@ -66,7 +69,7 @@
                 match hold {
                     Some(h) => self.store.renew(h, self.policy.ttl / 2).await.map(|()| h),
                     None => {
-                        let h = self.store.grant(self.policy.ttl).await?;
+                        let h = self.store.grant(self.policy.cut_keep.min(LONGEST_LEASE)).await?;
                         let member = Member { knows: known(), version: VERSION.to_owned() };
                         let path = format!("{}{}", key::MEMBER, self.config.name);
                         let txn = Txn { guards: vec![], writes: vec![Write::set_on(path, &member, h)] };
@@ -80,7 +83,7 @@
                 Err(Error::NoLease) => None,
                 Err(_) => hold,
             };
-            smol::Timer::after(self.policy.ttl / 4).await;
+            smol::Timer::after(self.policy.ttl / 2).await;
         }
     }
 
@@ -103,7 +106,7 @@
                 Err(e) => tracing::debug!("records of members: {e}"),
             }
             let names = self.config.siblings.iter().map(|s| s.name.as_str());
-            let all = lock(&self.peers.roster).all_have(names, CHAINS, self.policy.ttl, Instant::now());
+            let all = lock(&self.peers.roster).all_have(names, CHAINS, self.policy.cut_keep, Instant::now());
             if all {
                 let gates = Gates { on: known(), term: a.term };
                 let mut txn = Txn { guards: vec![], writes: vec![Write::set(key::GATES, &gates)] };
