--- a/packages/core/src/fleet.rs
+++ b/packages/core/src/fleet.rs
@@ -744,6 +744,53 @@
         assert_eq!(c.fleet.open.iter().map(|r| r.count).sum::<u32>(), 7);
     }
 
+    /// Seen where arrays run on spot machines alone: nothing on ordinary ones gives
+    /// way to replicas, and the few places that were kept did not last for a boot.
+    /// And spot machines that were lost were not rented again while thousands of
+    /// tasks waited, as places that run counted as free.
+    #[test]
+    fn room_is_rented_for_what_will_come_and_for_what_waits() {
+        let t0 = Instant::now();
+        let zones: Vec<Name> = ["z0", "z1", "z2", "z3"].map(Name::from).to_vec();
+        let several = |c: &mut Cluster| c.policy = Arc::new(Policy { rentals_at_once: 10, ..(*c.policy).clone() });
+        let ordinary = |arrivals: u32| {
+            let mut c = cluster(2, t0);
+            several(&mut c);
+            c.set_types(&[MachineType { zones: zones.clone(), ..crate::sim::machine_type("t") }]);
+            c.wait_aims.insert("c".into(), 5.0);
+            let now = t0 + c.policy.ttl + Duration::from_secs(20);
+            for n in 0..arrivals {
+                let s =
+                    Spec { shape: Shape::Service, spread: true, spot: false, ..(*spec(&format!("j-{n}"), 4)).clone() };
+                c.add_job(Arc::new(s), 1 + u64::from(n), None, now - Duration::from_secs(1));
+            }
+            c.list(&[], now);
+            let rent = c.plan(&[], now).rent;
+            assert!(rent.iter().all(|r| !r.spot));
+            rent.iter().map(|r| r.count).sum::<u32>()
+        };
+        // a boot of 10 s, half of a window of 20: half of what came will come again
+        assert_eq!((ordinary(0), ordinary(1), ordinary(80)), (0, 2, 20));
+
+        let mut c = cluster(2, t0);
+        several(&mut c);
+        c.set_types(&[MachineType { zones, ..crate::sim::machine_type("t") }]);
+        c.add_job(spec("j-000001", 1000), 1, None, t0);
+        on_record(&mut c, 100, "z0", "j-000001", t0);
+        c.list(&[], t0);
+        let want = |count| Want { spec: spec("j-000001", 1000), count, zones: BTreeMap::new() };
+        let each = 10.0 / c.policy.spot_horizon_s;
+        let mut rented = |count| {
+            c.fleet.open.clear();
+            c.plan(&[want(count)], t0).rent.iter().map(|r| (r.spot, r.count)).collect::<Vec<_>>()
+        };
+        let enough = (100.0 / each) as u32;
+        assert_eq!(rented(enough), [], "a hundred places are through with these in time");
+        let more = rented(enough + 80);
+        assert_eq!(more.iter().map(|r| r.1).sum::<u32>(), (80.0 * each / 8.0).ceil() as u32);
+        assert!(more.iter().all(|r| r.0), "for ordinary machines they may wait");
+    }
+
     /// A new leader counts a machine's silence from what its forerunner told,
     /// but not before those that can report have had the time to.
     #[test]
--- a/packages/core/src/placement/mod.rs
+++ b/packages/core/src/placement/mod.rs
@@ -500,6 +500,34 @@
         assert_eq!((c.jobs["j-000001"].places.len(), c.jobs["j-000002"].places.len()), (40, 10));
     }
 
+    /// A chain under a deadline mostly lost a task with a spot machine. Its tasks take
+    /// the room that ordinary machines have left, and its rank is that of its last job.
+    #[test]
+    fn chains_keep_to_ordinary_machines_and_the_highest_rank() {
+        let now = Instant::now();
+        let mut c = cluster(1, now);
+        up(&mut c, "i-0", now);
+        up(&mut c, "i-1", now);
+        c.machines.get_mut("i-1").expect("it is there").spot = false;
+        let low = |id: &str| Spec { rank: Rank::Low, ..(*spec(id, 1)).clone() };
+        c.add_job(Arc::new(low("j-1")), 1, None, now);
+        c.add_job(Arc::new(low("j-2")), 2, None, now);
+        c.add_job(Arc::new(low("j-4")), 4, None, now);
+        let last = Spec { needs: vec!["j-2".into()], rank: Rank::High, deadline_s: Some(60.0), ..low("j-3") };
+        c.add_job(Arc::new(last), 3, None, now);
+        assert_eq!(c.jobs["j-2"].turn(), (true, Rank::High));
+        c.place(now);
+        let at = |c: &Cluster, id: &str| c.jobs.get(id).and_then(|j| Some(j.places.get(&0)?[0].clone()));
+        assert_eq!(at(&c, "j-2").as_deref(), Some("i-1"), "under the deadline of the last");
+        assert_eq!((at(&c, "j-1").as_deref(), at(&c, "j-4").as_deref()), (Some("i-0"), Some("i-0")));
+        assert_eq!(at(&c, "j-3"), None);
+        // the last is cancelled: what it needs is as urgent as it was by itself
+        c.set_fate("j-3", Fate::Cancelled, now);
+        assert_eq!(c.jobs["j-2"].turn(), (true, Rank::Low));
+        c.set_fate("j-2", Fate::Done, now);
+        assert!(c.dependency.is_empty());
+    }
+
     /// Seen with four thousand machines: one pass took longer than the leader's
     /// lease.  It stops when it has looked at so much, the next ones go on, and
     /// nothing waits for ever.
