Intake, commit: one look-up loop, one refusal of new jobs, one test of a start to store

Cause: a last read of the change found three pieces written twice. Asking the store about unknown ids (look_up, exist), refusing a job unless it is a repeat (submit, judge_needs) and whether a start is still to be stored (next_batch, fill_page) are one function each; workers and the seeded world release held jobs by the function that there is. intake is a public module again, as before.

--- a/packages/core/src/cluster/mod.rs
+++ b/packages/core/src/cluster/mod.rs
@@ -193,7 +193,7 @@
 
     /// A job that waited for others enters the queue, with the arrival that it
     /// has had all the time.
-    fn release(&mut self, h: Held) {
+    pub(crate) fn release(&mut self, h: Held) {
         self.add_begun(h.spec, h.stamp, None, h.known);
     }
 
--- a/packages/core/src/commit.rs
+++ b/packages/core/src/commit.rs
@@ -8,12 +8,12 @@
 //! is no longer true leaves the store by and by without a change of its own;
 //! until then it only makes a new leader count a place as uncertain.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Instant;
 
 use serde::{Deserialize, Serialize};
 
-use crate::cluster::{Cluster, Page, Phase, Start, Turn, Whereabouts};
+use crate::cluster::{Cluster, Machine, Page, Phase, Start, Turn, Whereabouts};
 use crate::key;
 use crate::model::*;
 use coralnotch_wire::state::{read_value, Guard, Item, Txn, Write};
@@ -147,6 +147,13 @@
     }
 }
 
+/// The machine of a start that is still to be stored; none of one that was given up.
+fn to_store<'a>(machines: &'a BTreeMap<Name, Machine>, s: &Start) -> Option<&'a Machine> {
+    let m = machines.get(&s.machine)?;
+    let p = m.tasks.get(&s.task)?;
+    (p.attempt == s.attempt && p.session == s.session && !p.stored).then_some(m)
+}
+
 /// Pages looked at for one with room before a new one is made.
 const PAGES_TRIED: usize = 4;
 
@@ -241,9 +248,7 @@
         }
         // a start that was given up meanwhile is nothing to store
         while let Some(first) = self.unstored.first_entry() {
-            let s = first.get();
-            let place = self.machines.get(&s.machine).and_then(|m| m.tasks.get(&s.task));
-            if place.is_some_and(|p| p.attempt == s.attempt && p.session == s.session && !p.stored) {
+            if to_store(&self.machines, first.get()).is_some() {
                 break;
             }
             first.remove();
@@ -273,10 +278,7 @@
         }
         // No start of a job that is over is ever stored
         while let Some((turn, s)) = self.unstored.pop_first() {
-            let m = self.machines.get(&s.machine);
-            let place = m.and_then(|m| Some((m, m.tasks.get(&s.task)?)));
-            let current = place.filter(|(_, p)| p.attempt == s.attempt && p.session == s.session && !p.stored);
-            let Some((m, _)) = current else { continue };
+            let Some(m) = to_store(&self.machines, &s) else { continue };
             let at = (m.kind.clone(), m.zone.clone(), m.spot);
             let path = format!("{}{}", key::FATE, s.task.job);
             let guards = b.txn.guards.len() + usize::from(!b.txn.guarded(&path));
--- a/packages/core/src/sim/controllers.rs
+++ b/packages/core/src/sim/controllers.rs
@@ -207,7 +207,7 @@
                 let early = c.cluster.jobs.values().filter(|j| j.completing()).map(|j| j.spec.id.clone());
                 for id in early.collect::<Vec<_>>() {
                     for h in c.cluster.dependency.ended(&id, Fate::Done) {
-                        c.cluster.add_begun(h.spec, h.stamp, None, now);
+                        c.cluster.release(h);
                     }
                 }
             }
--- a/packages/core/src/workers.rs
+++ b/packages/core/src/workers.rs
@@ -154,8 +154,8 @@
         let Some(m) = self.machines.get_mut(&r.machine).filter(|m| m.gone.is_none()) else {
             return Answer { token: base, orders };
         };
-        m.answering = false;
         let token = base + m.fence;
+        m.answering = false;
         if (m.session, m.tally) != (r.session, r.tally) {
             // newer news is in; the next answer has the commands
             return Answer { token, orders };
@@ -278,7 +278,7 @@
         if let Some(h) = self.dependency.started(&t.task.job) {
             // a command leaves only after its start is stored, and that only
             // after the ends of all that the job needs
-            self.add_begun(h.spec, h.stamp, None, h.known);
+            self.release(h);
         }
         let over = self.jobs.get(&t.task.job).is_none_or(|j| j.fate.is_some() || j.done.contains(t.task.index));
         let finishing = self.jobs.get(&t.task.job).is_some_and(|j| j.finishing.contains(t.task.index));
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -314,11 +314,7 @@
             return Response::refuse(503, "not ready");
         }
         if let Some(why) = self.never(&spec) {
-            return match self.find(&spec.id).await {
-                Some(Found::Never) => Response::refuse(422, why),
-                Some(found) => self.told(&spec.id, found).await,
-                None => Response::refuse(503, "the state service does not answer"),
-            };
+            return self.refuse_new(&spec.id, why).await;
         }
         if stored_bytes(&spec) > self.store.most.value_bytes {
             return Response::refuse(503, "larger than the state service takes now");
@@ -381,13 +377,20 @@
                 None => return Err(Response::refuse(503, "the state service does not answer")),
             };
         }
-        let Some(why) = wrong else { return Ok(doomed) };
-        // a repeat is recognised before anything is said against it
-        Err(match self.find(&spec.id).await {
+        match wrong {
+            Some(why) => Err(self.refuse_new(&spec.id, why).await),
+            None => Ok(doomed),
+        }
+    }
+
+    /// Refuses a job for good, unless it was accepted before: a repeat is
+    /// recognised before anything is said against it.
+    async fn refuse_new(&self, id: &str, why: &str) -> Response {
+        match self.find(id).await {
             Some(Found::Never) => Response::refuse(422, why),
-            Some(found) => self.told(&spec.id, found).await,
+            Some(found) => self.told(id, found).await,
             None => Response::refuse(503, "the state service does not answer"),
-        })
+        }
     }
 
     /// What speaks against needing these jobs, which are not known here; many in
@@ -395,13 +398,8 @@
     async fn exist(&self, ids: &[Name]) -> Option<Option<&'static str>> {
         for some in ids.chunks((self.store.most.guards / 2).max(1)) {
             let mut asked = Lookup::new(some.iter());
-            while let Some(txn) = asked.txn() {
-                self.lookup_pause(1.0).await;
-                match self.store.txn(&txn).await {
-                    Ok(Outcome::Done(_)) => asked.as_guarded(),
-                    Ok(Outcome::Conflict(keys)) if asked.conflict(&keys) => {}
-                    Ok(Outcome::Conflict(_)) | Err(_) => return None,
-                }
+            if !self.settle(&mut asked).await {
+                return None;
             }
             for id in some {
                 match asked.found(id) {
@@ -531,6 +529,19 @@
         }
     }
 
+    /// Asks the store until all of these is known; false if it can't be told now.
+    async fn settle(&self, asked: &mut Lookup) -> bool {
+        while let Some(txn) = asked.txn() {
+            self.lookup_pause(1.0).await;
+            match self.store.txn(&txn).await {
+                Ok(Outcome::Done(_)) => asked.as_guarded(),
+                Ok(Outcome::Conflict(keys)) if asked.conflict(&keys) => {}
+                Ok(Outcome::Conflict(_)) | Err(_) => return false,
+            }
+        }
+        true
+    }
+
     /// Looks up ids that are not known here, those that wait together at once:
     /// users ask about jobs that are over for long, and about some that nobody
     /// submitted.
@@ -549,18 +560,7 @@
                 continue;
             }
             let mut asked = Lookup::new(batch.iter().map(|(id, _)| id));
-            let mut failed = false;
-            while let Some(txn) = asked.txn() {
-                self.lookup_pause(1.0).await;
-                match self.store.txn(&txn).await {
-                    Ok(Outcome::Done(_)) => asked.as_guarded(),
-                    Ok(Outcome::Conflict(keys)) if asked.conflict(&keys) => {}
-                    Ok(Outcome::Conflict(_)) | Err(_) => {
-                        failed = true;
-                        break;
-                    }
-                }
-            }
+            let failed = !self.settle(&mut asked).await;
             for id in asked.ended() {
                 self.lookup_pause(2.0).await;
                 let read = self.read_job(&id).await;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,7 +6,7 @@
 pub mod cli;
 pub mod client;
 pub mod gates;
-mod intake;
+pub mod intake;
 pub mod leader;
 pub mod leadership;
 pub mod node;
