Renew leases only on whole knowledge of withdrawals

Cause: a leader in an outage, or a controller cut off with its zone, renewed leases by the hour of the trouble and stopped only what it knew to be over. Change: core/knowledge says since when a picture of withdrawals is whole, by the watch or by the accounts of all siblings, and for how long leases may be renewed on it: cancel less lease, drift and a renewal. Outage, cut zone and leading ask it. Siblings account in the status call (new optional fields). The watch is opened anew twice in a ttl. A probe or a user at a controller tells that its zone is not cut off.

--- a/packages/core/src/lib.rs
+++ b/packages/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod fleet;
 pub mod gate;
 pub mod key;
+pub mod knowledge;
 pub mod ledger;
 pub mod lookup;
 pub mod placement;
--- a/packages/policy/src/policy/mod.rs
+++ b/packages/policy/src/policy/mod.rs
@@ -167,6 +167,8 @@
     failure_rest: Duration as Duration, 0.0 ..= 600.0;
     /// Within this a cancelled job's tasks have to be gone.
     cancel: Duration as Duration, 1.0 ..= 86400.0;
+    /// How long a worker keeps its tasks without an answer.
+    lease: Duration as Duration, 0.1 ..= 86400.0;
     /// Most machines that are rented, as long as the leader has not learned how
     /// many it can listen to.
     most_machines: usize as usize, 1.0 ..= 100000000.0;
@@ -208,7 +210,8 @@
     /// A controller that has reached nobody for so long takes itself for cut
     /// off with its zone, and renews the leases of the zone's workers …
     cut_after: Duration as Duration, 0.1 ..= 3600.0;
-    /// … but not after so long.
+    /// What a controller has shown that it has counts for so long after it was
+    /// last heard: a cut takes no version away.
     cut_keep: Duration as Duration, 0.0 ..= 86400.0;
     /// How long a sibling may take to answer.
     peer_limit: Duration as Duration, 0.05 ..= 60.0;
@@ -240,6 +243,7 @@
     ("stood_still > renew", "the pulse beats twice between renewals"),
     ("cut_after < workers.lease_s / 2", "a zone's leases must not run out before they are renewed"),
     ("commit_wait < workers.report_s", "an answer must not outlast the report interval"),
+    ("lease >= workers.lease_s", "a worker keeps its tasks for so long"),
     ("cancel <= workers.cancel_s", "the rules say when cancelled tasks are gone"),
 ];
 
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -45,7 +45,10 @@
     /// Answers one request.
     pub async fn handle(self: Arc<Self>, r: Request) -> Response {
         match (r.method.as_str(), r.path.as_str()) {
-            ("GET", "/healthz") => self.health(),
+            ("GET", "/healthz") => {
+                self.lock().asked = Some(Instant::now());
+                self.health()
+            }
             // a worker comes once in a report interval, and there may be more
             // workers than sockets
             ("POST", "/hello") => Response { seldom: true, ..self.hello(&r.body).await },
@@ -54,6 +57,7 @@
             _ => {
                 let c = &self.telemetry.counters;
                 count(&c.requests);
+                self.lock().asked = Some(Instant::now());
                 // apart, or every connection, most of them workers', would be as
                 // large as the longest way of a user's request
                 let a = Box::pin(self.users(&r)).await;
@@ -182,7 +186,7 @@
         let mut i = self.lock();
         let now = Instant::now();
         // checked at the moment of answering: the lease may have run out
-        if i.acts(now) {
+        if self.leads(&i, now) {
             if let Some(c) = i.cluster.as_mut() {
                 return Response::new(200, &c.answer(&report, now));
             }
@@ -197,13 +201,18 @@
         let now = Instant::now();
         self.beat(&mut i, now);
         self.hears(&mut i, &report.zone, now);
+        if i.acts(now) && !self.leads(&i, now) {
+            return Err(Response::refuse(503, "does not see the store's changes"));
+        }
         if !i.acts(now) {
             // an outage of the state service, by the siblings' word: nobody
             // can lead, and our lease outlives it.  The workers' leases are
-            // renewed, without commands; as silence is never a proof here,
-            // that is safe even if they were wrong
+            // renewed, without commands, for as long as no withdrawal can have
+            // been missed; as silence is never a proof here, that is safe even
+            // if they were wrong
             let fresh = self.policy.peer_limit * 3;
-            let outage = i.authority.is_some_and(|a| self.store.failing() && self.peers.outage(a.term, fresh, now));
+            let outage = i.authority.is_some_and(|a| self.store.failing() && self.peers.outage(a.term, fresh, now))
+                && self.may_renew(&i, now);
             if let Some(c) = i.cluster.as_mut().filter(|_| outage) {
                 if c.report(report, true, now).is_some() {
                     let token = c.token_for(&report.machine);
@@ -252,15 +261,19 @@
     /// refusal, and only workers of its own zone come here.  Then the zone's
     /// workers reach nobody else, and their tasks go on if their leases are
     /// renewed.  As silence is never taken for a proof, the leader outside
-    /// starts none of them again; and what it has to stop for a withdrawal, it
-    /// has the cloud delete.
+    /// starts none of them again.  What is withdrawn outside is not heard of in
+    /// here: renewals end in time for it.  Users belong to no zone: where one
+    /// comes, or a probe for them, it is this controller alone that is cut off,
+    /// and its zone's workers can turn to another.
     fn alone(&self, i: &Inner, report: &Report, now: Instant) -> bool {
         let p = &self.policy;
         let cut = now.duration_since(self.store.last_served());
         *report.zone == *self.config.zone
             && !self.config.siblings.is_empty()
             && self.store.silent()
-            && (p.cut_after..p.cut_keep).contains(&cut)
+            && cut >= p.cut_after
+            && self.may_renew(i, now)
+            && i.asked.is_none_or(|t| now.duration_since(t) > p.cut_after)
             && !self.peers.reachable(p.peer_limit * 3, now)
             && i.foreign.is_none_or(|t| now.duration_since(t) > p.cut_after)
     }
@@ -270,7 +283,11 @@
     /// time and by whomever.
     fn keep_alive(&self, i: &Inner, report: &Report, token: u64) -> Answer {
         count(&self.telemetry.counters.kept_alive);
-        let over = |t: &&Reported| t.state != TaskState::Ended && i.ledger.fate(&t.task.job).is_some();
+        let ended = |id: &Name| {
+            let led = i.cluster.as_ref().and_then(|c| c.jobs.get(id)).and_then(|j| j.fate);
+            i.ledger.fate(id).or(led).is_some()
+        };
+        let over = |t: &&Reported| t.state != TaskState::Ended && ended(&t.task.job);
         let halt = |t: &Reported| Command::Halt { task: t.task.clone(), attempt: t.attempt, grace: 0.0 };
         Answer { token, orders: report.tasks.iter().filter(over).map(halt).collect() }
     }
@@ -457,7 +474,7 @@
                             let id = spec.id.clone();
                             self.stored_job(spec, stamp, now);
                             if doomed {
-                                self.learn_fate(&id, Fate::Cancelled, now);
+                                self.learn_fate(&id, Fate::Cancelled, stamp, now);
                             }
                             let _ = reply.try_send(Accepted::New);
                         }
@@ -496,12 +513,16 @@
         let open = Open { spec: Arc::new(spec), stamp: item.stamp };
         let fate = match end {
             None => None,
-            Some(e) => Some(read_value::<FateRecord>(&e.path, e.data).ok_or(Error::Unreadable)?.fate),
+            Some(e) => Some((read_value::<FateRecord>(&e.path, e.data).ok_or(Error::Unreadable)?.fate, e.stamp)),
         };
-        if let Some(fate) = fate {
-            self.lock().ledger.remember(Ended { spec: open.spec.clone(), stamp: open.stamp, fate });
+        if let Some((fate, at)) = fate {
+            let mut i = self.lock();
+            if fate == Fate::Cancelled {
+                i.withdrawals.add(at, id);
+            }
+            i.ledger.remember(Ended { spec: open.spec.clone(), stamp: open.stamp, fate });
         }
-        Ok(Some((open, fate)))
+        Ok(Some((open, fate.map(|f| f.0))))
     }
 
     /// How a job stands; `None` if that cannot be told now.
@@ -637,7 +658,7 @@
         let item = self.store.get(path).await.ok()??;
         let f = read_value::<FateRecord>(path, item.data)?.fate;
         if let Some(id) = path.strip_prefix(key::FATE) {
-            self.learn_fate(id, f, Instant::now());
+            self.learn_fate(id, f, item.stamp, Instant::now());
         }
         Some(f)
     }
@@ -771,9 +792,9 @@
                 txn.writes.push(Write::set(path, &FateRecord { fate: Fate::Cancelled }));
             }
             match self.store.txn(&txn).await? {
-                Outcome::Done(_) => {
+                Outcome::Done(stamp) => {
                     let now = Instant::now();
-                    ends.iter().for_each(|id| self.learn_fate(id, Fate::Cancelled, now));
+                    ends.iter().for_each(|id| self.learn_fate(id, Fate::Cancelled, stamp, now));
                     return Ok(Some(Fate::Cancelled));
                 }
                 // one of the others has ended by itself: this one alone then
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -215,7 +215,7 @@
                     let ended = self.lock().cluster.as_mut().map(|c| c.committed(batch, revision, now));
                     for (id, fate) in ended.unwrap_or_default() {
                         tracing::debug!("{id} is {}", fate.word());
-                        self.learn_fate(&id, fate, now);
+                        self.learn_fate(&id, fate, revision, now);
                     }
                     self.stored.notify(usize::MAX);
                     self.to_command.wake();
@@ -274,7 +274,7 @@
                 continue;
             }
             match self.ends_of(ids).await {
-                Ok(ends) => ends.into_iter().for_each(|(id, fate)| self.learn_fate(&id, fate, Instant::now())),
+                Ok(ends) => ends.into_iter().for_each(|(id, fate, at)| self.learn_fate(&id, fate, at, Instant::now())),
                 Err(e) => {
                     tracing::debug!("ends of needed jobs: {e}");
                     smol::Timer::after(self.policy.renew / 4).await;
@@ -283,11 +283,12 @@
         }
     }
 
-    /// The ends of these jobs, as far as they have one: a few one by one, many
+    /// The ends of these jobs with their stamps, as far as they have one: a few one by one, many
     /// from the pages of all ends.
-    async fn ends_of(&self, mut ids: Vec<Name>) -> Result<Vec<(Name, Fate)>, Error> {
+    async fn ends_of(&self, mut ids: Vec<Name>) -> Result<Vec<(Name, Fate, u64)>, Error> {
         let read = |i: Item| {
-            Some((Name::from(i.path.strip_prefix(key::FATE)?), read_value::<FateRecord>(&i.path, i.data)?.fate))
+            let fate = read_value::<FateRecord>(&i.path, i.data)?.fate;
+            Some((Name::from(i.path.strip_prefix(key::FATE)?), fate, i.stamp))
         };
         let mut ends = Vec::new();
         if ids.len() <= FEW_ASKED {
@@ -697,10 +698,10 @@
         for id in ["j-000001", "j-000002", "j-000003"] {
             node.learn_job(spec(id, 1), 1, now);
         }
-        node.learn_fate("j-000001", Fate::Cancelled, now);
+        node.learn_fate("j-000001", Fate::Cancelled, 2, now);
         let a = Authority { term: 2, stamp: 1, hold: 1, until: now, since: now };
         assert!(node.take_over(a, Stored::default(), now).is_ok());
-        node.learn_fate("j-000002", Fate::Cancelled, now);
+        node.learn_fate("j-000002", Fate::Cancelled, 3, now);
         node.learn_job(spec("j-000004", 1), 2, now);
         let i = node.lock();
         let c = i.cluster.as_ref().expect("it leads");
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -129,13 +129,21 @@
     /// Renews until the lease is gone or another leads.
     async fn keep(&self, a: Authority) -> &'static str {
         let limit = self.policy.renew * 2;
+        // since when the lease is renewed and the watch shows too little to lead by
+        let mut blind: Option<Instant> = None;
         loop {
             let sent = Instant::now();
             let pause = match self.store.renew(a.hold, limit).await {
                 Ok(()) => {
-                    if let Some(x) = self.lock().authority.as_mut() {
+                    let now = Instant::now();
+                    let mut i = self.lock();
+                    if let Some(x) = i.authority.as_mut() {
                         x.until = lasts_until(sent, self.policy.ttl, self.policy.drift);
                     }
+                    blind = if self.leads(&i, now) { None } else { blind.or(Some(now)) };
+                    if blind.is_some_and(|t| now.saturating_duration_since(t) > self.policy.ttl * 2) {
+                        return "its lease is served, and no changes are shown to it";
+                    }
                     self.policy.renew
                 }
                 Err(Error::NoLease) => return "its lease is gone",
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,7 +1,9 @@
 //! One controller: the state its slices share, behind a short lock.  The ground
 //! that they stand on; it must not know any of them.
 
+use std::collections::hash_map::RandomState;
 use std::collections::HashMap;
+use std::hash::{BuildHasher, Hasher};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -19,6 +21,7 @@
 use crate::telemetry::Telemetry;
 use crate::turns::Lag;
 use crate::wait::Wake;
+use coralnotch_core::knowledge::{leads_for, renews_for, Knowledge, Withdrawals};
 
 /// The leader as seen in the store.
 #[derive(Debug, Clone)]
@@ -39,6 +42,10 @@
     pub chains: bool,
     /// Revision up to which the watch has been seen.
     pub epoch: u64,
+    /// The withdrawals that are known here, for siblings' accounts.
+    pub withdrawals: Withdrawals,
+    /// Since when none is missing here.
+    pub knowledge: Knowledge,
     /// Who leads.
     pub leader: Option<LeaderSeen>,
     /// Our own right to act.
@@ -53,6 +60,8 @@
     pub foreign: Option<Instant>,
     /// When any worker last reported here.
     pub heard: Option<Instant>,
+    /// When a user, or the load balancer for them, last reached this controller.
+    pub asked: Option<Instant>,
     /// When this controller was last seen to move, and since when it has
     /// moved without a gap.
     pub pulse: Option<Pulse>,
@@ -83,9 +92,15 @@
 }
 
 impl Inner {
-    /// Nothing is known yet; the ledger will keep so many ended jobs.
-    pub fn new(ended_kept: usize) -> Inner {
+    /// Nothing is known yet; the ledger will keep so many ended jobs, and so many
+    /// withdrawals are kept to account for.
+    pub fn new(ended_kept: usize, withdrawals: usize) -> Inner {
+        // told apart from every other life of this controller
+        let life = RandomState::new().build_hasher().finish();
         Inner {
+            withdrawals: Withdrawals::new(life, withdrawals),
+            knowledge: Knowledge::default(),
+            asked: None,
             ledger: Ledger::new(ended_kept),
             synced: false,
             chains: false,
@@ -155,8 +170,10 @@
         let limits = &config.deployment.state.least();
         let store = Store::new(config.services.state, limits, limits.rps * policy.read_share, now);
         let lookups = limits.rps * policy.lookup_share;
+        // no more can be stored while anybody may have to be told of them
+        let withdrawals = limits.write_rps * policy.cancel.as_secs_f64();
         Node {
-            inner: Mutex::new(Inner::new(policy.ended_kept)),
+            inner: Mutex::new(Inner::new(policy.ended_kept, withdrawals.ceil() as usize)),
             policy,
             store,
             cloud: http::Client::default(),
@@ -212,6 +229,22 @@
         took.div_f64(share).max(lag)
     }
 
+    /// Since when no withdrawal is missing here that a user was told of before.
+    pub fn whole(&self, i: &Inner) -> Option<Instant> {
+        i.knowledge.whole(self.config.siblings.iter().map(|s| s.name.as_str()))
+    }
+
+    /// Whether what is known of withdrawals is young enough to renew workers'
+    /// leases, nobody else's word being had.
+    pub fn may_renew(&self, i: &Inner, now: Instant) -> bool {
+        self.whole(i).is_some_and(|t| now.saturating_duration_since(t) < renews_for(&self.policy))
+    }
+
+    /// Whether this controller leads, and knows enough to go on leading.
+    pub fn leads(&self, i: &Inner, now: Instant) -> bool {
+        i.acts(now) && self.whole(i).is_some_and(|t| now.saturating_duration_since(t) < leads_for(&self.policy))
+    }
+
     /// The teams' limits.
     pub fn teams(&self) -> HashMap<Name, TeamLimit> {
         let team = |t: &crate::config::Team| {
@@ -252,9 +285,12 @@
         self.to_commit.wake();
     }
 
-    /// A job's end, as stored.
-    pub fn learn_fate(&self, id: &str, fate: Fate, now: Instant) {
+    /// A job's end, as stored at this revision.
+    pub fn learn_fate(&self, id: &str, fate: Fate, stamp: u64, now: Instant) {
         let mut i = self.lock();
+        if fate == Fate::Cancelled {
+            i.withdrawals.add(stamp, id);
+        }
         i.ledger.ends(id, fate);
         self.closed(&mut i, id, fate, now);
     }
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -13,9 +13,12 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use tonic::body::Body;
 
+use coralnotch_core::knowledge::{Account, Withdrawal};
+
 use crate::cluster::{Learned, Machine};
 use crate::gates;
 use crate::http::{Request, Response};
+use crate::model::Fate;
 use crate::node::Node;
 use crate::siblings::wire::peer_server::{Peer, PeerServer};
 use crate::siblings::{from_wire, lock, to_wire, wire, Link, Seen, Work};
@@ -27,10 +30,25 @@
     /// Asks one sibling how it stands.
     async fn ask(&self, l: &Link, progress: bool) {
         let limit = self.policy.peer_limit;
-        let ask = wire::StatusRequest { progress, from: self.config.name.clone(), knows: gates::known() };
+        let (since, (life, had)) = {
+            let i = self.lock();
+            (i.synced.then_some(i.epoch), i.knowledge.asks(&l.name))
+        };
+        let ask = wire::StatusRequest {
+            progress,
+            from: self.config.name.clone(),
+            knows: gates::known(),
+            withdrawn_since: since,
+            withdrawn_life: life,
+            withdrawn_had: had,
+        };
+        let sent = Instant::now();
         let answer = self.peers.call(l, limit, |mut c| async move { c.status(ask).await }).await;
         let Some(s) = answer else { return };
         let now = Instant::now();
+        if let Some(account) = s.account {
+            self.accounts(&l.name, account, sent, now);
+        }
         self.shows(&l.name, s.knows, s.version, now);
         let heard = s.heard_ms.and_then(|ms| now.checked_sub(Duration::from_millis(ms)));
         let seen = Seen { at: now, served: s.served, term: s.term, heard };
@@ -44,10 +62,33 @@
         }
     }
 
+    /// A sibling has accounted for the withdrawals that it knows.
+    fn accounts(&self, name: &str, a: wire::Account, sent: Instant, now: Instant) {
+        let known = a.known.into_iter().map(|w| Withdrawal { stamp: w.stamp, id: w.id.into() });
+        let a = Account { life: a.life, known: known.collect(), next: a.next, whole: a.whole };
+        for w in &a.known {
+            self.learn_fate(&w.id, Fate::Cancelled, w.stamp, now);
+        }
+        self.lock().knowledge.told(name, sent, &a);
+    }
+
+    /// The account that a sibling asks for, if there is no gap in it.
+    fn account(&self, r: &wire::StatusRequest) -> Option<wire::Account> {
+        let i = self.lock();
+        let since = r.withdrawn_since.filter(|_| i.synced)?;
+        let a = i.withdrawals.account(since, r.withdrawn_life, r.withdrawn_had)?;
+        let known = a.known.into_iter().map(|w| wire::Withdrawal { stamp: w.stamp, id: w.id.to_string() });
+        Some(wire::Account { life: a.life, known: known.collect(), next: a.next, whole: a.whole })
+    }
+
     /// Follows the leader's progress, and in trouble all siblings' state.
     pub async fn follow(&self) {
         loop {
-            let trouble = self.store.failing();
+            let trouble = self.store.failing() || {
+                // served, and yet the watch shows nothing: siblings know more
+                let i = self.lock();
+                i.synced && self.whole(&i).is_some_and(|t| t.elapsed() > self.policy.ttl * 2)
+            };
             if self.store.silent() {
                 // the end of a cut has to be noticed soon
                 let _ = self.store.get(crate::store::key::LEADER).await;
@@ -155,6 +196,7 @@
     ) -> Result<tonic::Response<wire::StatusResponse>, tonic::Status> {
         let r = r.into_inner();
         let (progress, now) = (r.progress, Instant::now());
+        let account = self.0.account(&r);
         if !r.from.is_empty() {
             self.0.shows(&r.from, r.knows, String::new(), now);
         }
@@ -184,7 +226,7 @@
         };
         let heard_ms = heard.map(|t| t.elapsed().as_millis() as u64);
         let (knows, version) = (gates::known(), gates::VERSION.to_owned());
-        let s = wire::StatusResponse { served, term, leads, jobs, machines, images, heard_ms, knows, version };
+        let s = wire::StatusResponse { served, term, leads, jobs, machines, images, heard_ms, knows, version, account };
         Ok(tonic::Response::new(s))
     }
 }
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -23,7 +23,7 @@
                     }
                 } else if let Some(id) = path.strip_prefix(key::FATE) {
                     if let Some(f) = read_value::<FateRecord>(&path, data) {
-                        self.learn_fate(id, f.fate, now);
+                        self.learn_fate(id, f.fate, e.stamp, now);
                     }
                 } else if path == key::LEADER {
                     if let Some(record) = read_value::<LeaderRecord>(&path, data) {
@@ -81,12 +81,14 @@
     /// whatever the history.
     async fn catch_up(&self) -> Result<u64, Error> {
         let first = !self.lock().synced;
+        let sent = Instant::now();
         let page = self.store.page(key::LEADER, "").await?;
         let epoch = page.epoch;
         let seen = |i: Item| self.event(Event { set: Some(i.path), delete: None, data: Some(i.data), stamp: i.stamp });
         {
             let mut i = self.lock();
             i.ledger.begins(epoch);
+            i.withdrawals.begins(epoch);
             if page.rows.is_empty() {
                 i.leader = None;
             }
@@ -130,6 +132,7 @@
                 }
             }
         }
+        self.lock().knowledge.shown(sent);
         Ok(since)
     }
 
@@ -167,7 +170,8 @@
             return "the state service holds the layout of an earlier version (keys under c1/): \
                     finish its jobs with that version, or remove the keys, and start again";
         }
-        let block = Duration::from_secs_f64(self.policy.ttl.as_secs_f64() * 1.5);
+        // what an answer proves is as old as its question: it must not wait long
+        let block = self.policy.ttl / 2;
         loop {
             let mut since = match self.catch_up().await {
                 Ok(epoch) => epoch,
@@ -179,11 +183,13 @@
             };
             self.caught_up(since);
             loop {
+                let sent = Instant::now();
                 match self.store.changes(key::WATCHED, since, block).await {
                     Ok((news, epoch)) => {
                         since = self.changed(news, epoch.max(since));
                         let mut i = self.lock();
                         i.epoch = i.epoch.max(since);
+                        i.knowledge.shown(sent);
                     }
                     Err(Error::Gone) => break,
                     Err(e) => {
--- a/tests/architecture.rs
+++ b/tests/architecture.rs
@@ -28,8 +28,19 @@
 ];
 
 /// The decisions: state first, then the steps, which share nothing sideways.
-const CORE: &[&str] =
-    &["key", "gate", "dependency", "cluster", "ledger", "lookup", "placement", "workers", "fleet", "commit"];
+const CORE: &[&str] = &[
+    "key",
+    "gate",
+    "knowledge",
+    "dependency",
+    "cluster",
+    "ledger",
+    "lookup",
+    "placement",
+    "workers",
+    "fleet",
+    "commit",
+];
 const STEPS: &[&str] = &["placement", "workers", "fleet", "commit"];
 
 /// The files of a module, without their tests.
