--- a/packages/core/src/knowledge.rs
+++ b/packages/core/src/knowledge.rs
@@ -36,6 +36,17 @@
     renews_for(p).max(p.ttl * 2)
 }
 
+/// Whether a picture that is whole since then is young enough to renew leases on,
+/// nobody else's word being had.
+pub fn may_renew(whole: Option<Instant>, p: &Policy, now: Instant) -> bool {
+    whole.is_some_and(|t| now.saturating_duration_since(t) < renews_for(p))
+}
+
+/// Whether it is young enough for a leader whose lease is served.
+pub fn may_lead(whole: Option<Instant>, p: &Policy, now: Instant) -> bool {
+    whole.is_some_and(|t| now.saturating_duration_since(t) < leads_for(p))
+}
+
 /// Most withdrawals in one answer; the rest follows with the next.
 const MOST_TOLD: usize = 512;
 
--- a/packages/core/src/ledger.rs
+++ b/packages/core/src/ledger.rs
@@ -51,6 +51,18 @@
     Unknown,
 }
 
+/// Whether an unfinished job is to end with one that it needs, directly or through
+/// others, as far as is known here.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Spoilt {
+    /// One that it needs is cancelled.
+    Yes,
+    /// None is.
+    No,
+    /// Of these nothing is known here; the store has to say.
+    Unknown(Vec<Name>),
+}
+
 /// Jobs by id.
 #[derive(Debug)]
 pub struct Ledger {
@@ -109,6 +121,29 @@
         self.edges.after(id, most)
     }
 
+    /// Whether a job is to end with one that it needs.  Its own end may come much
+    /// later: the state service may be down for longer than a withdrawal has.
+    pub fn spoilt(&self, id: &str) -> Spoilt {
+        let (mut seen, mut unknown) = (HashSet::new(), Vec::new());
+        let mut next: Vec<&Name> = self.open.get(id).map(|o| o.spec.needs.iter().collect()).unwrap_or_default();
+        while let Some(n) = next.pop() {
+            if !seen.insert(n) {
+                continue;
+            }
+            match (self.open.get(n), self.fate(n)) {
+                (Some(o), _) => next.extend(&o.spec.needs),
+                (None, Some(Fate::Cancelled)) => return Spoilt::Yes,
+                (None, Some(Fate::Done)) => {}
+                (None, None) => unknown.push(n.clone()),
+            }
+        }
+        if unknown.is_empty() {
+            Spoilt::No
+        } else {
+            Spoilt::Unknown(unknown)
+        }
+    }
+
     /// How many tasks a job has, if it is known here.
     pub fn tasks(&self, id: &str) -> Option<u32> {
         self.open.get(id).map(|o| &o.spec).or_else(|| self.ended.peek(id).map(|e| &e.spec)).map(|s| s.tasks)
@@ -302,3 +337,39 @@
     /// A job that was unfinished here has ended.
     Ended(Name, Fate),
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use coralnotch_wire::example::spec;
+
+    /// What needs a cancelled job must not be called queued for long: the end of a
+    /// chain is judged by all that it needs, also through others, and what is not
+    /// known is asked for.
+    #[test]
+    fn a_chain_is_spoilt_by_any_of_it() {
+        let job = |id: &str, needs: &[&str]| {
+            let needs = needs.iter().map(|n| Name::from(*n)).collect();
+            Arc::new(Spec { needs, ..(*spec(id, 1)).clone() })
+        };
+        let mut l = Ledger::new(2);
+        l.seen(job("j-1", &[]), 1);
+        l.seen(job("j-2", &["j-1"]), 2);
+        l.seen(job("j-3", &["j-2", "j-0"]), 3);
+        assert_eq!(l.spoilt("j-2"), Spoilt::No);
+        assert_eq!(l.spoilt("j-3"), Spoilt::Unknown(vec!["j-0".into()]));
+        l.remember(Ended { spec: job("j-0", &[]), stamp: 0, fate: Fate::Done });
+        assert_eq!(l.spoilt("j-3"), Spoilt::No);
+        l.ends("j-1", Fate::Cancelled);
+        assert_eq!((l.spoilt("j-2"), l.spoilt("j-3")), (Spoilt::Yes, Spoilt::Yes));
+        // ended jobs leave the memory, and are unknown again
+        l.remember(Ended { spec: job("j-8", &[]), stamp: 8, fate: Fate::Done });
+        l.remember(Ended { spec: job("j-9", &[]), stamp: 9, fate: Fate::Done });
+        assert_eq!(l.spoilt("j-2"), Spoilt::Unknown(vec!["j-1".into()]));
+        // thousands deep: nothing recurs
+        for n in 100..5100 {
+            l.seen(job(&format!("j-{n}"), &[&format!("j-{}", n - 1)]), n);
+        }
+        assert_eq!(l.spoilt("j-5099"), Spoilt::Unknown(vec!["j-99".into()]));
+    }
+}
--- a/packages/core/src/sim/controllers.rs
+++ b/packages/core/src/sim/controllers.rs
@@ -2,6 +2,7 @@
 //! are the program's own.
 
 use super::*;
+use crate::knowledge::{may_lead, may_renew};
 
 pub(super) struct Controller {
     pub(super) until: Ms,
@@ -41,7 +42,7 @@
         }
         let all_deaf = self.deaf.iter().all(|t| *t > self.now);
         for i in 0..3 {
-            let reaches = self.no_renewal[i] <= self.now && self.frozen[i] <= self.now;
+            let reaches = self.no_renewal[i] <= self.now && self.served(i);
             if self.down_until[i] > self.now || !reaches || self.controllers[i].is_some() {
                 continue;
             }
@@ -187,7 +188,7 @@
                 continue;
             }
             let holds = self.store.leader == Some((i, c.hold)) && self.store.stamp(key::LEADER) == c.stamp;
-            let reaches = self.now >= self.outage && self.now >= self.no_renewal[i];
+            let reaches = self.served(i) && self.now >= self.no_renewal[i];
             if reaches && !holds && !believes {
                 continue; // its lease is gone, and it hears of it
             }
@@ -274,6 +275,11 @@
         }
     }
 
+    fn answers(&mut self, report: &Report, number: u64, answer: Answer) {
+        let Some(machine) = self.workers.iter().position(|w| w.name == report.machine) else { return };
+        self.send(Message::Answer { machine, number, session: report.session, answer });
+    }
+
     pub(super) fn controller(&mut self, i: usize, life: u64) -> Option<&mut Controller> {
         self.controllers[i].as_mut().filter(|c| c.life == life)
     }
@@ -308,6 +314,27 @@
                 if self.sabotage == Sabotage::ReadingOrder {
                     report.tally = t;
                 }
+                let whole = self.whole(to);
+                let blind = self.sabotage == Sabotage::RenewsBlindly;
+                if self.controllers[to].as_ref().is_some_and(|c| t >= c.until) && self.all_out(to) {
+                    // an outage by the siblings' word: renewals without commands
+                    if !blind && !may_renew(whole, &self.policy, now) {
+                        return;
+                    }
+                    let over = &self.pictures[to].over;
+                    let Some(c) = self.controllers[to].as_mut() else { return };
+                    if c.cluster.report(&report, true, now).is_none() {
+                        return;
+                    }
+                    let ended =
+                        |id: &Name| over.contains(id) || c.cluster.jobs.get(id).is_some_and(|j| j.fate.is_some());
+                    let answer = keep_alive(&report, c.cluster.token_for(&report.machine), ended);
+                    self.answers(&report, number, answer);
+                    return;
+                }
+                if !blind && !may_lead(whole, &self.policy, now) {
+                    return;
+                }
                 let Some(c) = self.controllers[to].as_mut().filter(|c| t < c.until) else { return };
                 if c.cluster.report(&report, true, now).is_none() {
                     return;
@@ -316,13 +343,16 @@
                     c.wants = c.cluster.place(now);
                 }
                 let answer = c.cluster.answer(&report, now);
-                let Some(machine) = self.workers.iter().position(|w| w.name == report.machine) else { return };
-                self.send(Message::Answer { machine, number, session: report.session, answer });
+                self.answers(&report, number, answer);
             }
             Message::Answer { machine, number, session, answer } => {
                 let w = &mut self.workers[machine];
                 let Some((_, sent)) = w.flight.filter(|f| f.0 == number) else { return };
-                if !w.alive || self.now < w.hung_until || w.session != session || answer.token < w.token {
+                if !w.alive
+                    || self.now < w.hung_until.max(w.deaf_until)
+                    || w.session != session
+                    || answer.token < w.token
+                {
                     return;
                 }
                 if self.now - sent > 4000 {
@@ -336,6 +366,9 @@
             Message::Direct { from, life, call } => {
                 let Some(i) = self.workers.iter().position(|w| w.name == call.machine) else { return };
                 let held = self.workers[i].hung_until.max(self.cut[i % 3]).max(self.deaf[from]);
+                if self.now < self.workers[i].deaf_until {
+                    return; // lost
+                }
                 if self.workers[i].alive && self.now < held {
                     // carried out when the machine goes on, or its zone is back
                     self.serial += 1;
@@ -377,7 +410,7 @@
                 if large && at > self.lowered {
                     self.broken.push(format!("a value of more than {} bytes", self.value_most));
                 }
-                let carried = self.now >= self.outage && !large;
+                let carried = self.now >= self.outage && self.now >= self.refused[from] && !large;
                 let outcome = carried.then(|| self.store.apply(&txn));
                 // the answer may be lost
                 let lost = self.rng.u32(0..20) == 0;
@@ -396,7 +429,9 @@
                 let Some((batch, ..)) = c.flying.take_if(|f| f.1 == number) else { return };
                 match outcome {
                     Some(Ok(rev)) => {
-                        c.cluster.committed(batch, rev, now);
+                        for (id, fate) in c.cluster.committed(batch, rev, now) {
+                            self.learns(to, &id, fate, rev);
+                        }
                     }
                     _ => {
                         c.cluster.not_committed(batch);
@@ -413,12 +448,10 @@
                     c.cluster.add_job(spec, stamp, None, now);
                 }
             }
-            Message::Fate { to, id, fate } => {
-                if let Some(c) = self.controllers[to].as_mut() {
-                    c.cluster.set_fate(&id, fate, now);
-                }
-            }
             Message::Delete { names, from, life } => {
+                if self.now < self.no_cloud {
+                    return;
+                }
                 for w in self.workers.iter_mut().filter(|w| names.contains(&w.name)) {
                     w.alive = false;
                     w.tasks.clear();
--- a/packages/core/src/sim/machines.rs
+++ b/packages/core/src/sim/machines.rs
@@ -16,6 +16,8 @@
     pub(super) spot: bool,
     pub(super) alive: bool,
     pub(super) hung_until: Ms,
+    /// Until when what is sent to it is lost, though its reports arrive.
+    pub(super) deaf_until: Ms,
     pub(super) sick: bool,
     pub(super) session: u64,
     pub(super) tally: u64,
@@ -42,6 +44,7 @@
             renewed,
             next,
             flight: None,
+            deaf_until: 0,
             tasks: BTreeMap::new(),
         }
     }
@@ -123,13 +126,10 @@
                 continue;
             }
             let cut = self.now < self.cut[i % 3];
-            if cut && self.unmanned != Some(i % 3) {
+            if cut && self.unmanned != Some(i % 3) && self.keeps_zone(i % 3) {
                 let w = &mut self.workers[i];
                 (w.renewed, w.flight) = (self.now, None);
-                // it stops what it knew to be over when the cut began; what
-                // was withdrawn less than a watch's delay before may escape it
-                let known = self.now.saturating_sub(45_000);
-                let over = |t: &Task| self.cancelled.get(&t.job).is_some_and(|c| *c < known);
+                let over = |t: &Task| self.pictures[i % 3].over.contains(&t.job);
                 for (_, work) in w.tasks.iter_mut().filter(|(t, _)| over(t)).map(|(_, v)| v) {
                     if !matches!(work, Work::Ended(_)) {
                         *work = Work::Ended(Cause::Stopped);
@@ -202,7 +202,9 @@
                 self.workers[i].flight = None;
             }
             if self.workers[i].flight.is_none() && self.workers[i].next <= self.now && !cut {
-                let to = self.controllers.iter().position(|c| c.as_ref().is_some_and(|c| self.now < c.until));
+                let leads = |c: &Option<Controller>| c.as_ref().is_some_and(|c| self.now < c.until);
+                // where nobody leads it goes from one to the next
+                let to = self.controllers.iter().position(leads).or(Some(self.rng.usize(0..3)));
                 let w = &mut self.workers[i];
                 w.next = self.now + 3000;
                 let report = w.report();
--- a/packages/core/src/sim/mod.rs
+++ b/packages/core/src/sim/mod.rs
@@ -6,6 +6,7 @@
 mod controllers;
 mod history;
 mod machines;
+mod pictures;
 mod rules;
 mod service;
 
@@ -25,6 +26,7 @@
 use controllers::{Controller, Standing};
 use coralnotch_wire::state::{read_value, Item, Txn, Write};
 use machines::{listed, Work, Worker};
+use pictures::Picture;
 use service::Store;
 
 pub use coralnotch_policy::example::SETTINGS;
@@ -84,6 +86,13 @@
     ReapsUnderOldToken,
     /// Who stands for leader does not look whether another was quicker.
     UnguardedElection,
+    /// Leases are renewed in an outage and in a cut zone whatever is known of
+    /// withdrawals.
+    RenewsBlindly,
+    /// A job without an end is called unfinished whatever became of what it needs.
+    CallsUnlooked,
+    /// The word of some of the siblings is taken for that of all.
+    SomeSiblings,
     /// A controller that stood still trusts the authority it had before, and
     /// its writes are not guarded on the leader key.
     OldAuthority,
@@ -100,7 +109,6 @@
     Txn { from: usize, life: u64, number: u64, txn: Txn, at: Ms },
     TxnAnswer { to: usize, life: u64, number: u64, outcome: Option<Result<u64, Vec<String>>> },
     Job { to: usize, spec: Arc<Spec>, stamp: u64 },
-    Fate { to: usize, id: Name, fate: Fate },
     Delete { names: Vec<Name>, from: usize, life: u64 },
     Deleted { names: Vec<Name>, to: usize, life: u64 },
 }
@@ -139,7 +147,6 @@
             | Message::DirectAnswer { to, .. }
             | Message::TxnAnswer { to, .. }
             | Message::Job { to, .. }
-            | Message::Fate { to, .. }
             | Message::Deleted { to, .. } => Some(*to),
             _ => None,
         }
@@ -167,6 +174,14 @@
     kills: Vec<(Ms, usize)>,
     no_renewal: Vec<Ms>,
     outage: Ms,
+    /// Until when the state service refuses each controller alone.
+    refused: [Ms; 3],
+    /// Until when the cloud's interface is down.
+    no_cloud: Ms,
+    /// Until when each controller does not reach the others.
+    apart: [Ms; 3],
+    /// What each process knows of ends, leader or not.
+    pictures: [Picture; 3],
     /// Until when each controller stands still while its clocks run on: what
     /// is sent to it waits, and what it was about to send leaves as it wakes.
     frozen: [Ms; 3],
@@ -185,6 +200,8 @@
     /// A zone without a controller inside: cut off, its leases run out.
     unmanned: Option<usize>,
     jobs: BTreeMap<Name, (Arc<Spec>, u64)>,
+    /// Since when a leader has acted and was served without a break.
+    led: Ms,
     /// When each was submitted.
     came: HashMap<Name, Ms>,
     cancelled: HashMap<Name, Ms>,
@@ -234,6 +251,10 @@
             kills: Vec::new(),
             no_renewal: vec![0; 3],
             outage: 0,
+            refused: [0; 3],
+            no_cloud: 0,
+            apart: [0; 3],
+            pictures: [Picture::new(1), Picture::new(2), Picture::new(3)],
             frozen: [0; 3],
             freezes: None,
             deaf: [0; 3],
@@ -242,12 +263,13 @@
             cut: [0; 3],
             unmanned: seed.is_multiple_of(2).then_some(2),
             jobs: BTreeMap::new(),
+            led: 0,
             came: HashMap::new(),
             cancelled: HashMap::new(),
             finished: HashMap::new(),
             mail: BTreeMap::new(),
             serial: 0,
-            lives: 0,
+            lives: 3,
             term: 0,
             sabotage,
             scale,
@@ -341,7 +363,12 @@
         }
     }
 
+    /// A controller takes a withdrawal, stores it, and tells its user.
     fn cancel(&mut self) {
+        let by = self.rng.usize(0..3);
+        if !self.served(by) {
+            return;
+        }
         let open: Vec<Name> = self.jobs.keys().filter(|id| self.store.fate(id).is_none()).cloned().collect();
         if open.is_empty() {
             return;
@@ -358,12 +385,10 @@
             txn.guard(path.clone(), 0);
             txn.writes.push(Write::set(path, &FateRecord { fate: Fate::Cancelled }));
         }
-        if self.store.apply(&txn).is_ok() {
+        if let Ok(stamp) = self.store.apply(&txn) {
             for id in ends {
                 self.cancelled.insert(id.clone(), self.now);
-                for to in 0..3 {
-                    self.watched(Message::Fate { to, id: id.clone(), fate: Fate::Cancelled });
-                }
+                self.learns(by, &id, Fate::Cancelled, stamp);
             }
         }
     }
@@ -374,11 +399,13 @@
         let back = if self.rng.bool() { 200 } else { 3000 };
         self.down_until[i] = self.now + back;
         self.frozen[i] = 0;
+        self.lives += 1;
+        self.pictures[i] = Picture::new(self.lives);
     }
 
     fn trouble(&mut self) {
         let t = self.now;
-        match self.rng.u32(0..13) {
+        match self.rng.u32(0..17) {
             0 => {
                 // often it is back at once, and ends again in its first steps
                 let i = self.rng.usize(0..3);
@@ -398,8 +425,50 @@
                 let gap = if short { self.rng.u64(5..60) } else { self.rng.u64(160..500) };
                 self.freezes = Some((self.rng.usize(0..3), gap * STEP));
             }
+            // the leader alone is refused, for less or longer than its lease;
+            // then everybody is, for longer than a withdrawal has
+            13 | 14 => {
+                let i = self.store.leader.map_or(0, |l| l.0);
+                self.refused[i] = t + self.rng.u64(10..80) * STEP;
+                // users withdraw meanwhile, at one that may end, or lose its
+                // siblings, just after
+                (0..4).for_each(|_| self.cancel());
+                let by = (i + self.rng.usize(1..3)) % 3;
+                match self.rng.u32(0..3) {
+                    0 => self.kills.push((t + 5 * STEP, by)),
+                    1 => self.apart[by] = t + self.rng.u64(300..1000) * STEP,
+                    _ => {}
+                }
+                if self.rng.bool() && self.scale <= 100 {
+                    self.outage = self.refused[i] - 500 + self.rng.u64(300..1000) * STEP;
+                }
+            }
+            // the leader is cut from the state service and its siblings, and
+            // reaches workers; or it loses its siblings alone
+            15 => {
+                let i = self.store.leader.map_or(0, |l| l.0);
+                self.apart[i] = t + self.rng.u64(50..900) * STEP;
+                if self.rng.bool() {
+                    self.refused[i] = self.apart[i];
+                }
+            }
+            // answers and commands to some machines are lost, their reports
+            // arrive
+            16 => {
+                for _ in 0..self.scale.div_ceil(4) {
+                    let (n, t) = (self.rng.usize(0..self.workers.len()), t + self.rng.u64(50..600) * STEP);
+                    self.workers[n].deaf_until = t;
+                }
+            }
             12 => self.deaf[self.rng.usize(0..3)] = t + self.rng.u64(20..600) * STEP,
-            9 => self.cut[self.rng.usize(0..3)] = t + self.rng.u64(100..450) * STEP,
+            9 => {
+                let zone = self.rng.usize(0..3);
+                self.cut[zone] = t + self.rng.u64(100..1000) * STEP;
+                if self.rng.bool() {
+                    self.no_cloud = self.cut[zone];
+                }
+                (0..2).for_each(|_| self.cancel());
+            }
             // dozens at once in a large world
             kind => {
                 for _ in 0..self.scale.div_ceil(30) {
@@ -457,6 +526,7 @@
             let due = self.kills.extract_if(.., |k| k.0 <= self.now).collect::<Vec<_>>();
             due.into_iter().for_each(|(_, i)| self.ends(i));
             self.gives_up();
+            self.pictures_step();
             self.controllers_step();
             self.workers_step();
             if self.now.is_multiple_of(1000) {
@@ -484,6 +554,35 @@
     assert!(taken > 20, "only {taken} controllers came back while they still led");
 }
 
+/// The same with thousands of seeds, by hand: `cargo test --release -p coralnotch-core
+/// thousands -- --ignored --nocapture`; SEEDS says how many.
+#[test]
+#[ignore = "takes minutes"]
+fn the_rules_hold_through_thousands_of_days() {
+    let seeds: u64 = std::env::var("SEEDS").ok().and_then(|s| s.parse().ok()).unwrap_or(4000);
+    let next = std::sync::atomic::AtomicU64::new(0);
+    let failed = std::sync::Mutex::new(Vec::new());
+    std::thread::scope(|s| {
+        for _ in 0..std::thread::available_parallelism().map_or(1, |n| n.get()) {
+            s.spawn(|| loop {
+                let seed = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                if seed >= seeds {
+                    return;
+                }
+                let w = World::new(1000 + seed, Sabotage::None).run(240_000, 180_000);
+                let mut wrong = w.broken.clone();
+                wrong.extend(w.forgotten());
+                if !wrong.is_empty() {
+                    println!("seed {} at {} ms: {wrong:?}", 1000 + seed, w.now);
+                    failed.lock().expect("a list").push(1000 + seed);
+                }
+            });
+        }
+    });
+    let failed = failed.into_inner().expect("a list");
+    assert!(failed.is_empty(), "{} of {seeds} days failed: {failed:?}", failed.len());
+}
+
 /// Each invariant, broken on purpose, is noticed: the checker is not blind.
 #[test]
 fn the_checker_sees_broken_invariants() {
@@ -500,8 +599,11 @@
         Sabotage::ReapsUnderOldToken,
         Sabotage::UnguardedElection,
         Sabotage::OldAuthority,
+        Sabotage::RenewsBlindly,
+        Sabotage::SomeSiblings,
+        Sabotage::CallsUnlooked,
     ] {
-        let seen = (0..40).any(|seed| !World::new(seed, s).run(240_000, 180_000).broken.is_empty());
+        let seen = (0..240).any(|seed| !World::new(seed, s).run(240_000, 180_000).broken.is_empty());
         assert!(seen, "{s:?} went unnoticed");
     }
     let large = World::of(1000, 0, Sabotage::SilenceIsProof).run(90_000, 70_000);
--- a/packages/core/src/sim/rules.rs
+++ b/packages/core/src/sim/rules.rs
@@ -56,6 +56,11 @@
     }
 
     pub(super) fn always(&mut self) {
+        let acts =
+            |(i, c): (usize, &Option<Controller>)| c.as_ref().is_some_and(|c| self.now < c.until) && self.served(i);
+        if !self.controllers.iter().enumerate().any(acts) {
+            self.led = self.now;
+        }
         // a machine that hangs beyond its lease executes nothing any more; that
         // its tasks stay listed here is to catch those who start them again
         let lost = |w: &&Worker| self.now < w.hung_until && self.now.saturating_sub(w.renewed) > 30_000;
@@ -84,7 +89,10 @@
                 None => since.get(n).copied(),
             };
             let Some(t) = spec.needs.iter().filter_map(told).min().map(|t| t.max(self.came[id])) else { continue };
-            if self.store.fate(id).is_none() && self.now - t > 60_000 {
+            // called so too late; or left as it is though somebody leads
+            let called = self.now - t > 60_000 && (0..3).any(|i| self.calls_open(i, id));
+            let left = self.store.fate(id).is_none() && self.now - t.max(self.led) > 40_000;
+            if called || left {
                 self.broken.push(format!("orphaned: {id}, whose needs {:?} were cancelled at {t}", spec.needs));
             }
             since.insert(id, t);
--- a/packages/core/src/sim/service.rs
+++ b/packages/core/src/sim/service.rs
@@ -10,6 +10,8 @@
     pub(super) epoch: u64,
     /// Leases, by when they end.
     pub(super) leases: BTreeMap<u64, Ms>,
+    /// Ends in their order, with their revisions.
+    pub(super) ends: Vec<(u64, Name, Fate)>,
     /// Whose lease the leader key hangs on.
     pub(super) leader: Option<(usize, u64)>,
 }
@@ -35,6 +37,12 @@
         }
         self.epoch += 1;
         for w in &txn.writes {
+            if let Write::Set { set, data, .. } = w {
+                if let Some(id) = set.strip_prefix(key::FATE) {
+                    let fate = read_value::<FateRecord>(set, data.clone()).expect("an end").fate;
+                    self.ends.push((self.epoch, id.into(), fate));
+                }
+            }
             match w {
                 Write::Set { set, data, .. } => self.kv.insert(set.clone(), (data.clone(), self.epoch)),
                 Write::Delete { delete } => self.kv.remove(delete),
--- a/packages/core/src/workers.rs
+++ b/packages/core/src/workers.rs
@@ -35,6 +35,15 @@
 /// Most commands in one answer; the rest follows with the next report.
 const MOST_COMMANDS: usize = 400;
 
+/// An answer that renews the worker's lease, starts nothing, and stops what
+/// belongs to jobs that are known to be over: that is right at any time and by
+/// whomever.
+pub fn keep_alive(r: &Report, token: u64, over: impl Fn(&Name) -> bool) -> Answer {
+    let stops = |t: &&Reported| t.state != TaskState::Ended && over(&t.task.job);
+    let halt = |t: &Reported| Command::Halt { task: t.task.clone(), attempt: t.attempt, grace: 0.0 };
+    Answer { token, orders: r.tasks.iter().filter(stops).take(MOST_COMMANDS).map(halt).collect() }
+}
+
 impl Cluster {
     /// Takes a report in.  `None`: the worker has seen a token above ours, so
     /// this controller has no say any more; else whether the report is news.
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -13,7 +13,9 @@
 use crate::http::{self, Request, Response};
 use coralnotch_core::lookup::{Found, Lookup};
 
-use crate::ledger::{Ended, Open, Standing};
+use coralnotch_core::knowledge::may_lead;
+
+use crate::ledger::{Ended, Open, Spoilt, Standing};
 use crate::model::*;
 use crate::node::{Inner, Node};
 use crate::queues::Accepted;
@@ -21,7 +23,7 @@
 use crate::store::{key, read_value, Error, Outcome, Txn, Write};
 use crate::telemetry::{count, Timed};
 use crate::wait::timed;
-use crate::workers::{Answer, Command, Origin, Report, Reported, TaskState};
+use crate::workers::{keep_alive, Answer, Origin, Report};
 
 #[derive(Serialize)]
 struct Redirect<'a> {
@@ -31,6 +33,8 @@
 
 /// A user waits 5 s for a submission; an answer after this is none.
 const SUBMIT_LIMIT: Duration = Duration::from_millis(4000);
+/// Needed jobs that one query reads.
+const FEW_READ: usize = 8;
 /// A user waits 2 s for a query.
 const QUERY_LIMIT: Duration = Duration::from_millis(1700);
 
@@ -278,18 +282,11 @@
             && i.foreign.is_none_or(|t| now.duration_since(t) > p.cut_after)
     }
 
-    /// An answer that renews the worker's lease, starts nothing, and stops
-    /// what belongs to jobs that are known to be over: that is right at any
-    /// time and by whomever.
+    /// Renews the worker's lease without leading.
     fn keep_alive(&self, i: &Inner, report: &Report, token: u64) -> Answer {
         count(&self.telemetry.counters.kept_alive);
-        let ended = |id: &Name| {
-            let led = i.cluster.as_ref().and_then(|c| c.jobs.get(id)).and_then(|j| j.fate);
-            i.ledger.fate(id).or(led).is_some()
-        };
-        let over = |t: &&Reported| t.state != TaskState::Ended && ended(&t.task.job);
-        let halt = |t: &Reported| Command::Halt { task: t.task.clone(), attempt: t.attempt, grace: 0.0 };
-        Answer { token, orders: report.tasks.iter().filter(over).map(halt).collect() }
+        let led = |id: &Name| i.cluster.as_ref().and_then(|c| c.jobs.get(id)).and_then(|j| j.fate);
+        keep_alive(report, token, |id| i.ledger.fate(id).or_else(|| led(id)).is_some())
     }
 
     /// Why a job can never run, if it cannot.
@@ -756,12 +753,47 @@
             Found::Confirmed => Some(None),
             _ => self.fate_of(&id).await,
         };
+        // a job that needs a cancelled one is not called queued, however late its
+        // own end is stored; refused, its user asks again
+        if fate == Some(None) && !self.may_call_open(&id).await {
+            return Response::refuse(503, "what it needs has to be looked at");
+        }
         match fate {
             Some(fate) => Response::new(200, &self.state(&id, fate)),
             None => Response::refuse(503, "the state service does not answer"),
         }
     }
 
+    /// Whether a job without an end may be called unfinished: what it needs, as far
+    /// as a user can have been told for long, is not cancelled.
+    async fn may_call_open(&self, id: &Name) -> bool {
+        let young = |i: &Inner| may_lead(self.whole(i), &self.policy, Instant::now());
+        let unknown = {
+            let mut i = self.lock();
+            match i.ledger.standing(id) {
+                Standing::Open(o) if o.spec.needs.is_empty() => return true,
+                // what nothing is known of was accepted a moment ago, or the watch
+                // is behind
+                Standing::Unknown => return young(&i),
+                _ => {}
+            }
+            match i.ledger.spoilt(id) {
+                Spoilt::Yes => return false,
+                Spoilt::No => return young(&i),
+                Spoilt::Unknown(ids) => ids,
+            }
+        };
+        // over for long, or before this controller began; what is read is kept
+        for n in unknown.iter().take(FEW_READ) {
+            self.lookup_pause(2.0).await;
+            if self.read_job(n).await.is_err() {
+                return false;
+            }
+        }
+        let i = self.lock();
+        young(&i) && i.ledger.spoilt(id) == Spoilt::No
+    }
+
     async fn withdraw(&self, id: &str) -> Response {
         if !valid_id(id) {
             return Response::refuse(404, "no such job");
--- a/src/node.rs
+++ b/src/node.rs
@@ -21,7 +21,7 @@
 use crate::telemetry::Telemetry;
 use crate::turns::Lag;
 use crate::wait::Wake;
-use coralnotch_core::knowledge::{leads_for, renews_for, Knowledge, Withdrawals};
+use coralnotch_core::knowledge::{may_lead, may_renew, Knowledge, Withdrawals};
 
 /// The leader as seen in the store.
 #[derive(Debug, Clone)]
@@ -237,12 +237,12 @@
     /// Whether what is known of withdrawals is young enough to renew workers'
     /// leases, nobody else's word being had.
     pub fn may_renew(&self, i: &Inner, now: Instant) -> bool {
-        self.whole(i).is_some_and(|t| now.saturating_duration_since(t) < renews_for(&self.policy))
+        may_renew(self.whole(i), &self.policy, now)
     }
 
     /// Whether this controller leads, and knows enough to go on leading.
     pub fn leads(&self, i: &Inner, now: Instant) -> bool {
-        i.acts(now) && self.whole(i).is_some_and(|t| now.saturating_duration_since(t) < leads_for(&self.policy))
+        i.acts(now) && may_lead(self.whole(i), &self.policy, now)
     }
 
     /// The teams' limits.
