Needed ends stay in memory; records of rentals in doubt; cut alone told by users

A controller that began after a needed job had ended could call what needs it queued; what is needed is read, and kept while it is needed. A record of rentals in doubt was planned anew and found later by the next leader: the same record is written again, guarded on its key's absence, and a conflict over it is its own success. A leader cut from the state service and its siblings, reached by users and workers, took itself for cut off with its zone once other zones' workers had left: users and probes belong to no zone, so one that comes refutes it.

--- a/src/authority.rs
+++ b/src/authority.rs
@@ -70,6 +70,30 @@
     }
 }
 
+/// What a controller that nobody seems to answer knows of who reaches it: how long
+/// ago each was last heard, if ever.
+#[derive(Debug, Clone, Copy)]
+pub struct Cut {
+    /// Since the state service last carried out anything.
+    pub unserved: Duration,
+    /// The state service or a sibling answers, be it with a refusal.
+    pub answers: bool,
+    /// Since a worker of another zone came.
+    pub foreign: Option<Duration>,
+    /// Since a user came, or a probe for them.
+    pub asked: Option<Duration>,
+}
+
+impl Cut {
+    /// Whether it is its zone that is cut off, not it alone: nobody from outside
+    /// has come for so long.  Cut off alone, it would keep its zone's workers from
+    /// a leader whom they reach.
+    pub fn with_its_zone(&self, after: Duration) -> bool {
+        let quiet = |t: Option<Duration>| t.is_none_or(|t| t > after);
+        self.unserved >= after && !self.answers && quiet(self.foreign) && quiet(self.asked)
+    }
+}
+
 /// Why a leader that no worker reaches hands over.
 pub const DEAF: &str = "hears no worker";
 
@@ -122,6 +146,26 @@
         }
     }
 
+    /// Cut from the state service and from its siblings, reached by workers and
+    /// users: another leads, and its zone's workers can turn to that one.  Once the
+    /// other zones' workers had gone, it took itself for cut off with its zone.
+    #[test]
+    fn one_that_users_reach_is_cut_off_alone() {
+        let s = |n| Some(Duration::from_secs(n));
+        let after = Duration::from_secs(6);
+        let cut = Cut { unserved: after * 2, answers: false, foreign: s(10), asked: None };
+        assert!(cut.with_its_zone(after));
+        assert!(Cut { asked: s(7), ..cut }.with_its_zone(after));
+        for alone in [
+            Cut { asked: s(1), ..cut },
+            Cut { foreign: s(1), ..cut },
+            Cut { answers: true, ..cut },
+            Cut { unserved: after / 2, ..cut },
+        ] {
+            assert!(!alone.with_its_zone(after), "{alone:?}");
+        }
+    }
+
     #[test]
     fn authority_counts_from_the_sending() {
         let sent = Instant::now();
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -8,8 +8,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures_util::stream::StreamExt;
 use serde::Serialize;
 
+use crate::authority::Cut;
 use crate::http::{self, Request, Response};
 use coralnotch_core::lookup::{Found, Lookup};
 
@@ -33,8 +35,8 @@
 
 /// A user waits 5 s for a submission; an answer after this is none.
 const SUBMIT_LIMIT: Duration = Duration::from_millis(4000);
-/// Needed jobs that one query reads.
-const FEW_READ: usize = 8;
+/// Needed jobs that one query reads; the rest is the next one's.
+const MOST_READ: usize = 64;
 /// A user waits 2 s for a query.
 const QUERY_LIMIT: Duration = Duration::from_millis(1700);
 
@@ -270,16 +272,17 @@
     /// comes, or a probe for them, it is this controller alone that is cut off,
     /// and its zone's workers can turn to another.
     fn alone(&self, i: &Inner, report: &Report, now: Instant) -> bool {
-        let p = &self.policy;
-        let cut = now.duration_since(self.store.last_served());
+        let age = |t: Instant| now.saturating_duration_since(t);
+        let state = Cut {
+            unserved: age(self.store.last_served()),
+            answers: !self.store.silent() || self.peers.reachable(self.policy.peer_limit * 3, now),
+            foreign: i.foreign.map(age),
+            asked: i.asked.map(age),
+        };
         *report.zone == *self.config.zone
             && !self.config.siblings.is_empty()
-            && self.store.silent()
-            && cut >= p.cut_after
+            && state.with_its_zone(self.policy.cut_after)
             && self.may_renew(i, now)
-            && i.asked.is_none_or(|t| now.duration_since(t) > p.cut_after)
-            && !self.peers.reachable(p.peer_limit * 3, now)
-            && i.foreign.is_none_or(|t| now.duration_since(t) > p.cut_after)
     }
 
     /// Renews the worker's lease without leading.
@@ -783,15 +786,17 @@
                 Spoilt::Unknown(ids) => ids,
             }
         };
-        // over for long, or before this controller began; what is read is kept
-        for n in unknown.iter().take(FEW_READ) {
-            self.lookup_pause(2.0).await;
-            if self.read_job(n).await.is_err() {
-                return false;
-            }
+        // they ended before this controller began; what is read is kept
+        let reads = unknown.into_iter().take(MOST_READ).map(|n: Name| async move {
+            let path = format!("{}{n}", key::FATE);
+            self.read_fate(&path).await.is_some()
+        });
+        let read = futures_util::stream::iter(reads).buffer_unordered(8).collect::<Vec<_>>();
+        if !timed(QUERY_LIMIT, read).await.is_some_and(|ends| ends.into_iter().all(|known| known)) {
+            return false;
         }
         let i = self.lock();
-        young(&i) && i.ledger.spoilt(id) == Spoilt::No
+        young(&i) && i.ledger.spoilt(id) != Spoilt::Yes
     }
 
     async fn withdraw(&self, id: &str) -> Response {
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -47,6 +47,9 @@
 /// So many are asked about one by one; of more the pages are read.
 const FEW_ASKED: usize = 32;
 
+/// How often a record in doubt is written.
+const RECORD_TRIES: usize = 3;
+
 /// How long the cloud may take to answer.
 const CLOUD_LIMIT: Duration = Duration::from_secs(4);
 
@@ -580,18 +583,31 @@
         };
         let mut txn = Txn { guards: vec![], writes: vec![Write::set(path.clone(), &new)] };
         txn.guard(key::LEADER, a.stamp);
-        match self.store.txn(&txn).await {
-            Ok(Outcome::Done(_)) => {
-                if let Some(c) = self.lock().cluster.as_mut() {
-                    c.fleet.recorded(path, &new);
+        txn.guard(path.clone(), 0);
+        // what stays in doubt may be carried out yet: the same again, or a next
+        // leader would find a record of what was planned anew
+        let mut doubted = false;
+        for _ in 0..RECORD_TRIES {
+            match self.store.txn(&txn).await {
+                Ok(Outcome::Done(_)) => {}
+                // its key is this record's alone
+                Ok(Outcome::Conflict(keys)) if doubted && keys == [path.as_str()] => {}
+                Err(Error::Doubt(e)) => {
+                    tracing::debug!("a record of rentals is in doubt: {e}");
+                    doubted = true;
+                    continue;
+                }
+                other => {
+                    tracing::debug!("rentals are not on record: {other:?}");
+                    return false;
                 }
-                true
             }
-            other => {
-                tracing::debug!("rentals are not on record: {other:?}");
-                false
+            if let Some(c) = self.lock().cluster.as_mut() {
+                c.fleet.recorded(path, &new);
             }
+            return true;
         }
+        false
     }
 
     /// Removes records of which nothing is to be learned any more.
