--- a/packages/core/src/sim/mod.rs
+++ b/packages/core/src/sim/mod.rs
@@ -202,6 +202,8 @@
     jobs: BTreeMap<Name, (Arc<Spec>, u64)>,
     /// Since when a leader has acted and was served without a break.
     led: Ms,
+    /// When each job's end was stored.
+    ended: HashMap<Name, Ms>,
     /// When each was submitted.
     came: HashMap<Name, Ms>,
     cancelled: HashMap<Name, Ms>,
@@ -264,6 +266,7 @@
             unmanned: seed.is_multiple_of(2).then_some(2),
             jobs: BTreeMap::new(),
             led: 0,
+            ended: HashMap::new(),
             came: HashMap::new(),
             cancelled: HashMap::new(),
             finished: HashMap::new(),
@@ -519,6 +522,14 @@
                 self.trouble();
             }
             if self.now == calm_from {
+                // all troubles end soon, and what is left has to settle
+                let end = self.now + 15_000;
+                let until = [&mut self.refused, &mut self.apart, &mut self.cut, &mut self.deaf, &mut self.frozen];
+                until
+                    .into_iter()
+                    .flatten()
+                    .chain([&mut self.outage, &mut self.no_cloud])
+                    .for_each(|t| *t = end.min(*t));
                 for w in &mut self.workers {
                     w.sick = false;
                 }
@@ -573,6 +584,11 @@
                 let mut wrong = w.broken.clone();
                 wrong.extend(w.forgotten());
                 if !wrong.is_empty() {
+                    if let Some(c) = w.controllers.iter().flatten().find(|c| w.now < c.until) {
+                        let held: Vec<_> =
+                            c.cluster.dependency.held().map(|h| (&h.spec.id, &h.spec.needs, &h.missing)).collect();
+                        println!("term {} led since {}: {held:?}", c.cluster.term, w.led);
+                    }
                     println!("seed {} at {} ms: {wrong:?}", 1000 + seed, w.now);
                     failed.lock().expect("a list").push(1000 + seed);
                 }
--- a/packages/core/src/sim/pictures.rs
+++ b/packages/core/src/sim/pictures.rs
@@ -103,6 +103,9 @@
 
     /// Watches that answer, and accounts.
     pub(super) fn pictures_step(&mut self) {
+        for (_, id, _) in &self.store.ends[self.ended.len()..] {
+            self.ended.insert(id.clone(), self.now);
+        }
         for i in 0..3 {
             if self.served(i) && self.pictures[i].next.0 <= self.now {
                 self.looks(i);
--- a/packages/core/src/sim/rules.rs
+++ b/packages/core/src/sim/rules.rs
@@ -46,10 +46,14 @@
         self.broken.extend(broken);
     }
 
-    /// Jobs that a leader still holds back though all they need is done: nothing
-    /// else would show that they never start.
+    /// Jobs that a leader still holds back though all they need was done a while
+    /// ago (a transaction may stay in doubt for some seconds): nothing else would
+    /// show that they never start.
     pub(super) fn forgotten(&self) -> Vec<String> {
-        let over = |n: &Name| self.store.fate(n) == Some(Fate::Done);
+        let over = |n: &Name| {
+            let long = self.ended.get(n).is_some_and(|t| self.now - t > 15_000);
+            long && self.store.fate(n) == Some(Fate::Done)
+        };
         let led = self.controllers.iter().flatten().filter(|c| self.now < c.until);
         let held = led.flat_map(|c| c.cluster.dependency.held());
         held.filter(|h| h.spec.needs.iter().all(over)).map(|h| h.spec.id.to_string()).collect()
