What runs of a job that is over goes on record without a guard that never holds

Cause: a task found on a machine, of a job that is over, was to be stored under a guard on the absence of the job's end. Change: such a record has no guard; nothing of it is ever commanded.

--- a/packages/core/src/commit.rs
+++ b/packages/core/src/commit.rs
@@ -276,17 +276,23 @@
                 b.done.push((job, part));
             }
         }
-        // No start of a job that is over is ever stored
+        // No start of a job that is over is ever decided; what was found running of
+        // one is on record like any other, for it counts until it is gone.  To
+        // guard that on the absence of its end would fail for ever, and with it all
+        // else that there is to store
         while let Some((turn, s)) = self.unstored.pop_first() {
             let Some(m) = to_store(&self.machines, &s) else { continue };
             let at = (m.kind.clone(), m.zone.clone(), m.spot);
             let path = format!("{}{}", key::FATE, s.task.job);
-            let guards = b.txn.guards.len() + usize::from(!b.txn.guarded(&path));
+            let over = self.jobs.get(&s.task.job).is_none_or(|j| j.fate.is_some());
+            let guards = b.txn.guards.len() + usize::from(!over && !b.txn.guarded(&path));
             if filling.bytes + filling.start(&s, &at) > most.page_bytes || guards > most.guards {
                 self.unstored.insert(turn, s);
                 break;
             }
-            b.txn.guard(path, 0);
+            if !over {
+                b.txn.guard(path, 0);
+            }
             filling.add_start(&s, &at);
             b.starts.push((turn, s));
         }
@@ -615,6 +621,43 @@
         }
     }
 
+    /// Found by the seeded world: machines that could not be reached kept tasks of
+    /// jobs that were over and not on record, and no transaction of the leader's
+    /// got through for as long as they did.
+    #[test]
+    fn a_task_found_of_a_job_that_is_over_holds_nothing_up() {
+        use crate::workers::{Report, Reported, TaskState};
+        let now = Instant::now();
+        let mut c = cluster(1, now);
+        c.add_job(spec("j-000001", 1), 1, Some(Fate::Cancelled), now);
+        c.add_job(spec("j-000002", 1), 2, None, now);
+        let task = Task { job: "j-000001".into(), index: 0 };
+        let found = Reported { task: task.clone(), attempt: 7, state: TaskState::Running, cause: None, saved: None };
+        let report = Report {
+            machine: "i-1".into(),
+            address: "127.0.0.1:9".into(),
+            kind: "t".into(),
+            zone: "z0".into(),
+            spot: false,
+            session: 1,
+            tally: 1,
+            token: 0,
+            notice_s: None,
+            tasks: vec![found],
+        };
+        c.report(&report, true, now);
+        c.place(now);
+        let b = c.next_batch(5, &limits(1000)).expect("two starts to store");
+        let fate = |id: &str| b.txn.guarded(&format!("{}{id}", key::FATE));
+        assert_eq!((fate("j-000001"), fate("j-000002")), (false, true));
+        assert_eq!(b.starts.len(), 2);
+        c.committed(b, 6, now);
+        // on record, it counts and is stopped; nothing of it is ever sent
+        assert!(c.machines["i-1"].tasks[&task].halt.is_some());
+        let sent = c.answer(&report, now).orders;
+        assert!(sent.iter().all(|o| !matches!(o, crate::workers::Command::Run { task: t, .. } if *t == task)));
+    }
+
     /// What the version in production stored (values that its own code wrote) is
     /// read as it was meant, and what needs no new feature is written in the same
     /// bytes: each version works on the other's data.
