Users are told of a withdrawal when nobody can renew a lease unknowing

Change, behind the new gate feature 'told': a withdrawal's user is told once every sibling has taken the word of it, or the leader finds nothing of the job on any machine, or cancel_s after its end was stored. So a controller that may not know it renews for cancel_s longer; until then the user is refused with Retry-After.

--- a/packages/core/src/cluster/mod.rs
+++ b/packages/core/src/cluster/mod.rs
@@ -95,6 +95,18 @@
 /// Term in the high bits of tokens and attempts.
 const TERM_SHIFT: u32 = 24;
 
+/// The token with which a controller that does not lead answers a worker: above the
+/// one that the worker has seen, and of the same term.  A start that is held up
+/// under that one finds the higher.
+pub fn raise(token: u64) -> u64 {
+    let next = token + 1;
+    if next >> TERM_SHIFT == token >> TERM_SHIFT {
+        next
+    } else {
+        token
+    }
+}
+
 impl Cluster {
     /// The state of a new leader, before it has read anything.
     pub fn new(term: u64, policy: Arc<Policy>, teams: HashMap<Name, TeamLimit>, now: Instant) -> Cluster {
@@ -286,6 +298,18 @@
         self.unstored.insert((job.turn(), self.next_turn), start);
     }
 
+    /// Whether nothing of a job that is over is on any machine, or may still get onto
+    /// one: what was ever started counts until it is proved to be gone.
+    pub fn clear_of(&self, id: &str) -> bool {
+        self.jobs.get(id).is_none_or(|j| j.fate.is_some() && j.places.is_empty())
+    }
+
+    /// The token under which a machine's worker was spoken to last, if it is of this
+    /// term: a controller that was cut off with its zone may have raised it.
+    pub fn raised(&self, token: u64) -> Option<u64> {
+        (token >> TERM_SHIFT == self.term).then(|| token - self.token())
+    }
+
     /// A placed task is proved to be off its machine.
     pub fn vacate(&mut self, machine: &Name, task: &Task, now: Instant) {
         let Some(m) = self.machines.get_mut(machine) else { return };
--- a/packages/core/src/gate.rs
+++ b/packages/core/src/gate.rs
@@ -12,8 +12,13 @@
 /// Jobs that wait for others.
 pub const CHAINS: &str = "chains";
 
+/// A withdrawal is told to its user once every controller that may renew a lease
+/// knows of it, or had its time (see `knowledge`); and a controller that is cut off
+/// raises the tokens of its zone's workers.
+pub const TOLD: &str = "told";
+
 /// The features that this version has.
-pub const KNOWN: &[&str] = &[CHAINS];
+pub const KNOWN: &[&str] = &[CHAINS, TOLD];
 
 /// The stored record of what is on.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/packages/core/src/knowledge.rs
+++ b/packages/core/src/knowledge.rs
@@ -14,9 +14,12 @@
 //! told before the first of these accounts was asked for is missing.  An account
 //! counts without a gap only: from a revision up to which the asker knows them all.
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::num::NonZeroUsize;
 use std::time::{Duration, Instant};
 
+use lru::LruCache;
+
 use crate::model::Name;
 use crate::policy::Policy;
 
@@ -24,22 +27,29 @@
 /// what is withdrawn from then on has to be gone within `cancel` by the users'
 /// clocks, and a lease that is renewed last lasts `lease` by the worker's, which may
 /// run slow; a worker notices the end of its lease within a `renew`.
-pub fn renews_for(p: &Policy) -> Duration {
+///
+/// `told`: every controller keeps to [`Telling`].  A user is told then no sooner than
+/// `cancel` after the end was stored, if a controller that renews may not know it.
+pub fn renews_for(p: &Policy, told: bool) -> Duration {
     let needs = p.lease.mul_f64(1.0 + 2.0 * p.drift) + p.renew;
-    p.cancel.mul_f64(1.0 - 2.0 * p.drift).saturating_sub(needs)
+    let from_telling = p.cancel.mul_f64(1.0 - 2.0 * p.drift).saturating_sub(needs);
+    match told && !from_telling.is_zero() {
+        true => from_telling + p.cancel.mul_f64(1.0 - 2.0 * p.drift),
+        false => from_telling,
+    }
 }
 
 /// The same for a leader whose lease is served: its stops reach the workers, and the
 /// watch answers it twice in a `ttl`.  Where a worker's lease outlasts `cancel` no
 /// bound helps, and a leader has to be able to lead.
 pub fn leads_for(p: &Policy) -> Duration {
-    renews_for(p).max(p.ttl * 2)
+    renews_for(p, false).max(p.ttl * 2)
 }
 
 /// Whether a picture that is whole since then is young enough to renew leases on,
 /// nobody else's word being had.
-pub fn may_renew(whole: Option<Instant>, p: &Policy, now: Instant) -> bool {
-    whole.is_some_and(|t| now.saturating_duration_since(t) < renews_for(p))
+pub fn may_renew(whole: Option<Instant>, told: bool, p: &Policy, now: Instant) -> bool {
+    whole.is_some_and(|t| now.saturating_duration_since(t) < renews_for(p, told))
 }
 
 /// Whether it is young enough for a leader whose lease is served.
@@ -83,7 +93,10 @@
     /// Number of the first in the list.
     first: u64,
     list: VecDeque<Withdrawal>,
-    listed: HashSet<Name>,
+    /// When each was learned, and its stamp.
+    listed: HashMap<Name, (Instant, u64)>,
+    /// When this life began to watch.
+    began: Option<Instant>,
     most: usize,
 }
 
@@ -91,20 +104,22 @@
     /// None, in a new life that keeps so many.
     pub fn new(life: u64, most: usize) -> Withdrawals {
         let (list, listed) = Default::default();
-        Withdrawals { life, floor: None, first: 0, list, listed, most: most.max(1) }
+        Withdrawals { life, floor: None, first: 0, list, listed, began: None, most: most.max(1) }
     }
 
     /// A watch begins at this revision: what came before it and after the last one's
     /// end was not shown here.
-    pub fn begins(&mut self, revision: u64) {
+    pub fn begins(&mut self, revision: u64, now: Instant) {
+        self.began.get_or_insert(now);
         self.floor = self.floor.max(Some(revision));
     }
 
     /// One that is stored, however it became known.
-    pub fn add(&mut self, stamp: u64, id: &str) {
-        if !self.listed.insert(id.into()) {
+    pub fn add(&mut self, stamp: u64, id: &str, now: Instant) {
+        if self.listed.contains_key(id) {
             return;
         }
+        self.listed.insert(id.into(), (now, stamp));
         self.list.push_back(Withdrawal { stamp, id: id.into() });
         if self.list.len() > self.most {
             if let Some(w) = self.list.pop_front() {
@@ -115,6 +130,17 @@
         }
     }
 
+    /// Whether a job is known to be withdrawn.
+    pub fn knows(&self, id: &str) -> bool {
+        self.listed.contains_key(id)
+    }
+
+    /// When an end was learned, or if it is not in the list any more, or came before
+    /// it, when this life began; with its stamp.
+    fn learned(&self, id: &str) -> Option<(Instant, u64)> {
+        self.listed.get(id).copied().or(self.began.map(|t| (t, 0)))
+    }
+
     /// For a sibling that knows all up to a revision and has had the first `next` of
     /// the list of a life.  `None`: a gap, nothing can be accounted for.
     pub fn account(&self, since: u64, life: u64, next: u64) -> Option<Account> {
@@ -128,6 +154,70 @@
     }
 }
 
+/// When a user may be told that a job is cancelled: when no lease can be renewed for
+/// its tasks by a controller that does not know it, for longer than is left.  That is
+/// so once every sibling has taken the word of it; or the leader finds nothing of the
+/// job on any machine, and nothing starts any more; or `cancel` after its end was
+/// stored, for by then whoever does not know it has a picture older than that.
+///
+/// Until then the end stands, and is carried out, but nobody is told: the user, who
+/// is refused for now, asks again.
+#[derive(Debug)]
+pub struct Telling {
+    siblings: usize,
+    open: BTreeMap<Name, BTreeSet<usize>>,
+    settled: LruCache<Name, ()>,
+}
+
+impl Telling {
+    /// Nothing is to be told; as many siblings, and so many settled ones kept.
+    pub fn new(siblings: usize, most: usize) -> Telling {
+        let most = NonZeroUsize::new(most).unwrap_or(NonZeroUsize::MIN);
+        Telling { siblings, open: BTreeMap::new(), settled: LruCache::new(most) }
+    }
+
+    /// Whether a user may be told; if not, the siblings are to hear of it.
+    pub fn may_tell(&mut self, id: &Name, known: &Withdrawals, p: &Policy, now: Instant) -> bool {
+        if self.siblings == 0 || self.settled.contains(id) {
+            return true;
+        }
+        let old = |t: Instant| now.saturating_duration_since(t) >= p.cancel;
+        if known.learned(id).is_some_and(|(t, _)| old(t)) {
+            self.open.remove(id);
+            return true;
+        }
+        self.open.entry(id.clone()).or_default();
+        false
+    }
+
+    /// What a sibling is to be told, and whether some of it is new to it.
+    pub fn for_sibling(&mut self, n: usize, known: &Withdrawals, p: &Policy, now: Instant) -> (Vec<Withdrawal>, bool) {
+        let old = |t: Instant| now.saturating_duration_since(t) >= p.cancel;
+        // nobody asks any more
+        self.open.retain(|id, _| known.learned(id).is_some_and(|(t, _)| !old(t)));
+        let new = self.open.values().any(|by| !by.contains(&n));
+        let of = |id: &Name| Withdrawal { stamp: known.learned(id).map_or(0, |l| l.1), id: id.clone() };
+        (self.open.keys().take(MOST_TOLD).map(of).collect(), new)
+    }
+
+    /// A sibling has taken the word of these.
+    pub fn taken(&mut self, n: usize, told: &[Withdrawal]) {
+        for w in told {
+            let Some(by) = self.open.get_mut(&w.id) else { continue };
+            by.insert(n);
+            if by.len() >= self.siblings {
+                self.clear(&w.id);
+            }
+        }
+    }
+
+    /// The leader has found nothing of a job on any machine.
+    pub fn clear(&mut self, id: &Name) {
+        self.open.remove(id);
+        self.settled.put(id.clone(), ());
+    }
+}
+
 /// What a sibling has told.
 #[derive(Debug, Clone, Copy, Default)]
 struct Told {
@@ -180,6 +270,7 @@
     use crate::config::Config;
     use coralnotch_policy::example::SETTINGS;
     use proptest::prelude::*;
+    use std::collections::HashSet;
 
     /// The last lease is over in time, whatever the clocks do within their drift.
     #[test]
@@ -191,10 +282,10 @@
         };
         for (cancel, lease) in [(60.0, 30.0), (61.0, 36.0), (31.0, 30.0), (20.0, 30.0), (600.0, 12.0)] {
             let p = with(cancel, lease);
-            let last = renews_for(&p).as_secs_f64() * (1.0 + p.drift) + lease * (1.0 + p.drift);
-            assert!(last < cancel || renews_for(&p).is_zero(), "{cancel} {lease}");
+            let last = renews_for(&p, false).as_secs_f64() * (1.0 + p.drift) + lease * (1.0 + p.drift);
+            assert!(last < cancel || renews_for(&p, false).is_zero(), "{cancel} {lease}");
             // and no more is given away than clocks and a renewal take
-            assert!(last > cancel - p.renew.as_secs_f64() * 2.0 || renews_for(&p).is_zero(), "{cancel} {lease}");
+            assert!(last > cancel - p.renew.as_secs_f64() * 2.0 || renews_for(&p, false).is_zero(), "{cancel} {lease}");
             assert!(leads_for(&p) >= p.ttl * 2);
         }
     }
@@ -260,7 +351,7 @@
             life += 1;
             let mut list = Withdrawals::new(life, most);
             if without == Without::Floor {
-                list.begins(0);
+                list.begins(0, t0);
             }
             One { list, known: HashSet::new(), watch: None, knowledge: Knowledge::default() }
         };
@@ -279,7 +370,7 @@
                     ends.push(id.clone());
                     told.insert(id.clone(), now);
                     if without != Without::Own {
-                        all[w].list.add(ends.len() as u64, &id);
+                        all[w].list.add(ends.len() as u64, &id, now);
                     }
                     all[w].known.insert(id);
                 }
@@ -288,7 +379,7 @@
                     let id = ends[at].clone();
                     told.entry(id.clone()).or_insert(now);
                     if without != Without::Own {
-                        all[w].list.add(at as u64 + 1, &id);
+                        all[w].list.add(at as u64 + 1, &id, now);
                     }
                     all[w].known.insert(id);
                 }
@@ -298,13 +389,13 @@
                         Some(e) => e as usize,
                         None => {
                             // the first read: all ends so far, none of them listed
-                            o.list.begins(ends.len() as u64);
+                            o.list.begins(ends.len() as u64, now);
                             o.known.extend(ends.iter().cloned());
                             ends.len()
                         }
                     };
                     for (at, id) in ends.iter().enumerate().skip(since) {
-                        o.list.add(at as u64 + 1, id);
+                        o.list.add(at as u64 + 1, id, now);
                         o.known.insert(id.clone());
                     }
                     o.watch = Some(ends.len() as u64);
@@ -315,7 +406,7 @@
                     let (life, next) = all[a].knowledge.asks(NAMES[b]);
                     let Some(account) = all[b].list.account(since, life, next) else { continue };
                     for w in &account.known {
-                        all[a].list.add(w.stamp, &w.id);
+                        all[a].list.add(w.stamp, &w.id, now);
                         all[a].known.insert(w.id.clone());
                     }
                     let late = Duration::from_secs(2 * u64::from(without == Without::Sending));
@@ -369,9 +460,9 @@
     fn an_account_comes_in_parts() {
         let t0 = Instant::now();
         let mut list = Withdrawals::new(7, 10_000);
-        list.begins(10);
+        list.begins(10, t0);
         for n in 0..1300u64 {
-            list.add(11 + n, &format!("j-{n}"));
+            list.add(11 + n, &format!("j-{n}"), t0);
         }
         assert!(list.account(9, 0, 0).is_none(), "a gap");
         let mut k = Knowledge::default();
@@ -388,4 +479,40 @@
         let nobody: [&str; 0] = [];
         assert!(Knowledge::default().whole(nobody).is_none(), "nobody's word is no word");
     }
+
+    /// A user is told when all siblings know, when the leader finds nothing left, or
+    /// when whoever does not know has stopped in time; never before.
+    #[test]
+    fn a_user_is_told_when_nobody_can_renew_unknowing() {
+        let p = Policy::new(&Config::parse("test", SETTINGS).expect("settings")).expect("the default policy");
+        let t0 = Instant::now();
+        let s = |n: u64| t0 + Duration::from_secs(n);
+        let mut known = Withdrawals::new(1, 100);
+        known.begins(5, s(0));
+        let names: Vec<Name> = ["j-1", "j-2", "j-3"].map(Name::from).into();
+        names.iter().for_each(|n| known.add(9, n, s(100)));
+        let mut t = Telling::new(2, 10);
+        for n in &names {
+            assert!(!t.may_tell(n, &known, &p, s(100)));
+        }
+        let (told, new) = t.for_sibling(0, &known, &p, s(100));
+        assert!(new && told.len() == 3 && told[0].stamp == 9);
+        t.taken(0, &told);
+        assert!(!t.for_sibling(0, &known, &p, s(101)).1, "nothing new to it");
+        assert!(!t.may_tell(&names[0], &known, &p, s(101)), "one of two knows");
+        t.taken(1, &told[..1]);
+        assert!(t.may_tell(&names[0], &known, &p, s(101)));
+        t.clear(&names[1]);
+        assert!(t.may_tell(&names[1], &known, &p, s(101)));
+        let end = s(100) + p.cancel;
+        assert!(!t.may_tell(&names[2], &known, &p, end - Duration::from_millis(1)));
+        assert!(t.may_tell(&names[2], &known, &p, end));
+        // who renews by that has stopped in time: its picture is older than the end
+        let last = s(100) + renews_for(&p, true);
+        assert!(last + p.lease <= end + p.cancel);
+        // an end from before this life is as old as this life, at least
+        assert!(!t.may_tell(&"j-0".into(), &known, &p, s(59)));
+        assert!(t.may_tell(&"j-0".into(), &known, &p, s(60)));
+        assert!(Telling::new(0, 1).may_tell(&"j-9".into(), &known, &p, s(0)), "one alone");
+    }
 }
--- a/packages/core/src/sim/controllers.rs
+++ b/packages/core/src/sim/controllers.rs
@@ -318,7 +318,7 @@
                 let blind = self.sabotage == Sabotage::RenewsBlindly;
                 if self.controllers[to].as_ref().is_some_and(|c| t >= c.until) && self.all_out(to) {
                     // an outage by the siblings' word: renewals without commands
-                    if !blind && !may_renew(whole, &self.policy, now) {
+                    if !blind && !may_renew(whole, self.told, &self.policy, now) {
                         return;
                     }
                     let over = &self.pictures[to].over;
--- a/packages/core/src/sim/machines.rs
+++ b/packages/core/src/sim/machines.rs
@@ -1,6 +1,7 @@
 //! Machines with their workers, as the protocol has them.
 
 use super::*;
+use crate::cluster::raise;
 
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) enum Work {
@@ -129,6 +130,9 @@
             if cut && self.unmanned != Some(i % 3) && self.keeps_zone(i % 3) {
                 let w = &mut self.workers[i];
                 (w.renewed, w.flight) = (self.now, None);
+                if self.told && self.now.is_multiple_of(3000) {
+                    w.token = raise(w.token);
+                }
                 let over = |t: &Task| self.pictures[i % 3].over.contains(&t.job);
                 for (_, work) in w.tasks.iter_mut().filter(|(t, _)| over(t)).map(|(_, v)| v) {
                     if !matches!(work, Work::Ended(_)) {
--- a/packages/core/src/sim/mod.rs
+++ b/packages/core/src/sim/mod.rs
@@ -89,6 +89,8 @@
     /// Leases are renewed in an outage and in a cut zone whatever is known of
     /// withdrawals.
     RenewsBlindly,
+    /// A user is told of a withdrawal at once, whoever knows of it.
+    TellsAtOnce,
     /// A job without an end is called unfinished whatever became of what it needs.
     CallsUnlooked,
     /// The word of some of the siblings is taken for that of all.
@@ -206,6 +208,11 @@
     ended: HashMap<Name, Ms>,
     /// When each was submitted.
     came: HashMap<Name, Ms>,
+    /// All tell users of withdrawals only when all know; see `gate::TOLD`.
+    told: bool,
+    /// Jobs that users have withdrawn and were not told of yet.
+    withdrawn: std::collections::BTreeSet<Name>,
+    /// When users were told of withdrawals.
     cancelled: HashMap<Name, Ms>,
     finished: HashMap<Task, Ms>,
     mail: BTreeMap<(Ms, u64), Message>,
@@ -268,6 +275,8 @@
             led: 0,
             ended: HashMap::new(),
             came: HashMap::new(),
+            told: !seed.is_multiple_of(4),
+            withdrawn: Default::default(),
             cancelled: HashMap::new(),
             finished: HashMap::new(),
             mail: BTreeMap::new(),
@@ -390,8 +399,11 @@
         }
         if let Ok(stamp) = self.store.apply(&txn) {
             for id in ends {
-                self.cancelled.insert(id.clone(), self.now);
                 self.learns(by, &id, Fate::Cancelled, stamp);
+                match self.told {
+                    true => drop(self.withdrawn.insert(id)),
+                    false => drop(self.cancelled.insert(id, self.now)),
+                }
             }
         }
     }
@@ -618,6 +630,7 @@
         Sabotage::RenewsBlindly,
         Sabotage::SomeSiblings,
         Sabotage::CallsUnlooked,
+        Sabotage::TellsAtOnce,
     ] {
         let seen = (0..600).any(|seed| !World::new(seed, s).run(240_000, 180_000).broken.is_empty());
         assert!(seen, "{s:?} went unnoticed");
--- a/packages/core/src/sim/pictures.rs
+++ b/packages/core/src/sim/pictures.rs
@@ -2,10 +2,12 @@
 //! and by its siblings' accounts; leader or not.
 
 use super::*;
-use crate::knowledge::{may_lead, may_renew, Knowledge, Withdrawals};
+use crate::knowledge::{may_lead, may_renew, Knowledge, Telling, Withdrawals};
 
 pub(super) struct Picture {
     list: Withdrawals,
+    /// Withdrawals whose users are still to be told.
+    telling: Telling,
     knowledge: Knowledge,
     /// Jobs known to be over.
     pub(super) over: std::collections::HashSet<Name>,
@@ -18,7 +20,8 @@
 impl Picture {
     pub(super) fn new(life: u64) -> Picture {
         let list = Withdrawals::new(life, 64);
-        Picture { list, knowledge: Knowledge::default(), over: Default::default(), watch: None, next: (0, 0) }
+        let (knowledge, telling) = (Knowledge::default(), Telling::new(2, 64));
+        Picture { list, telling, knowledge, over: Default::default(), watch: None, next: (0, 0) }
     }
 }
 
@@ -63,7 +66,7 @@
     /// A controller in a zone that is cut off renews its workers' leases.
     pub(super) fn keeps_zone(&self, i: usize) -> bool {
         let blind = self.sabotage == Sabotage::RenewsBlindly;
-        self.awake(i) && (blind || may_renew(self.whole(i), &self.policy, self.at(self.now)))
+        self.awake(i) && (blind || may_renew(self.whole(i), self.told, &self.policy, self.at(self.now)))
     }
 
     /// Whether a controller would call a job unfinished now: the store confirms that
@@ -93,7 +96,7 @@
         let now = self.at(self.now);
         let p = &mut self.pictures[i];
         if fate == Fate::Cancelled {
-            p.list.add(stamp, id);
+            p.list.add(stamp, id, now);
         }
         p.over.insert(id.clone());
         if let Some(c) = self.controllers[i].as_mut() {
@@ -101,11 +104,51 @@
         }
     }
 
+    /// Users who have withdrawn ask again, at any controller, until they are told.
+    fn tells(&mut self) {
+        for id in self.withdrawn.clone() {
+            let (i, now) = (self.rng.usize(0..3), self.at(self.now));
+            let young = may_lead(self.whole(i), &self.policy, now);
+            if !self.awake(i) || !young || !self.pictures[i].over.contains(&id) || self.rng.u32(0..5) > 0 {
+                continue;
+            }
+            let p = &mut self.pictures[i];
+            let told = !self.told
+                || self.sabotage == Sabotage::TellsAtOnce
+                || p.telling.may_tell(&id, &p.list, &self.policy, now);
+            if told {
+                self.cancelled.insert(id.clone(), self.now);
+                self.withdrawn.remove(&id);
+                continue;
+            }
+            for j in [i, (i + 1) % 3, (i + 2) % 3] {
+                let leads = self.controllers[j].as_ref().filter(|c| self.now < c.until);
+                let clear = leads.is_some_and(|c| c.cluster.clear_of(&id));
+                if j != i && !self.reach(i, j) {
+                    continue;
+                }
+                if j != i {
+                    // its siblings' numbers as it counts them
+                    let p = &mut self.pictures[i];
+                    let (told, _) = p.telling.for_sibling(j, &p.list, &self.policy, now);
+                    for w in &told {
+                        self.learns(j, &w.id, Fate::Cancelled, w.stamp);
+                    }
+                    self.pictures[i].telling.taken(j, &told);
+                }
+                if clear {
+                    self.pictures[i].telling.clear(&id);
+                }
+            }
+        }
+    }
+
     /// Watches that answer, and accounts.
     pub(super) fn pictures_step(&mut self) {
         for (_, id, _) in &self.store.ends[self.ended.len()..] {
             self.ended.insert(id.clone(), self.now);
         }
+        self.tells();
         for i in 0..3 {
             if self.served(i) && self.pictures[i].next.0 <= self.now {
                 self.looks(i);
@@ -127,7 +170,8 @@
         let since = match self.pictures[i].watch {
             Some(e) => e,
             None => {
-                self.pictures[i].list.begins(epoch);
+                let now = self.at(self.now);
+                self.pictures[i].list.begins(epoch, now);
                 let over: Vec<Name> = self.store.ends.iter().map(|e| e.1.clone()).collect();
                 self.pictures[i].over.extend(over);
                 epoch
--- a/packages/core/src/workers.rs
+++ b/packages/core/src/workers.rs
@@ -53,8 +53,9 @@
     /// says nothing of that.
     pub fn report(&mut self, r: &Report, closing: bool, now: Instant) -> Option<bool> {
         let token = self.token();
+        let mut raised = None;
         if r.token > token + self.machines.get(&r.machine).map_or(0, |m| m.fence) {
-            return None;
+            raised = Some(self.raised(r.token)?);
         }
         let kind_size = self.types.get(&r.kind).map(|t| t.size());
         let new = !self.machines.contains_key(&r.machine);
@@ -75,6 +76,7 @@
         let session_changed = r.session != m.session;
         (m.session, m.tally) = (r.session, r.tally);
         m.token = m.token.max(r.token);
+        m.fence = m.fence.max(raised.unwrap_or(0));
         m.heard = Some(now);
         m.address = r.address.parse().ok();
         // direct starts of a lower token, or for an earlier session, are dead
@@ -520,6 +522,42 @@
 
 #[cfg(test)]
 mod tests {
+    /// Found by the seeded world: a direct start, held up for longer than a job's
+    /// cancellation has, found a machine that its zone's controller had kept alive
+    /// under the token of that start.  The controller raises the token; the leader
+    /// goes on from there, and no other term's token passes for its own.
+    #[test]
+    fn a_start_that_a_cut_held_up_finds_a_higher_token() {
+        use crate::cluster::raise;
+        let now = Instant::now();
+        let mut c = cluster(3, now);
+        let seen = c.token();
+        let held = raise(seen);
+        assert!(held > seen, "the worker refuses what left under the token before");
+        let full = (4 << 24) - 1;
+        assert_eq!(raise(full), full, "never into the next term");
+        let report = |tally, token| Report {
+            machine: "i-1".into(),
+            address: "127.0.0.1:9".into(),
+            kind: "t".into(),
+            zone: "z0".into(),
+            spot: false,
+            session: 1,
+            tally,
+            token,
+            notice_s: None,
+            tasks: vec![],
+        };
+        assert_eq!(c.report(&report(1, seen), true, now), Some(true));
+        let m = c.machines.get_mut("i-1").expect("it reported");
+        (m.doubt, m.direct) = (Some(seen), Some(0));
+        // the cut heals: it speaks the leader's term, and a token that it never gave
+        assert_eq!(c.report(&report(2, held), true, now), Some(true));
+        assert_eq!(c.machines["i-1"].doubt, None, "the start is refused by now");
+        assert!(c.answer(&report(2, held), now).token >= held, "or the answer would be dropped");
+        assert_eq!(c.report(&report(3, 4 << 24), true, now), None, "a later term's");
+    }
+
     use super::*;
     use crate::sim::{cluster, spec};
 
--- a/src/gates.rs
+++ b/src/gates.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use coralnotch_core::gate::{Gates, Member, Shown, CHAINS, KNOWN};
+use coralnotch_core::gate::{Gates, Member, Shown, CHAINS, KNOWN, TOLD};
 
 use crate::authority::Authority;
 use crate::node::Node;
@@ -47,8 +47,13 @@
     }
 
     /// The stored record of what is on, as the store shows it.
-    pub(crate) fn gates_are(&self, g: &Gates) {
+    pub(crate) fn gates_are(&self, g: &Gates, stamp: u64, now: Instant) {
         let mut i = self.lock();
+        i.gates = i.gates.max(stamp);
+        if i.told_since.is_none() && g.on.iter().any(|f| f == TOLD) {
+            tracing::info!("all controllers have {TOLD}: on since term {}", g.term);
+            i.told_since = Some(now);
+        }
         if !i.chains && g.on.iter().any(|f| f == CHAINS) {
             tracing::info!("all controllers have {CHAINS}: on since term {}", g.term);
             i.chains = true;
@@ -64,7 +69,7 @@
         while !self.lock().synced {
             smol::Timer::after(self.policy.renew / 8).await;
         }
-        while !self.lock().chains {
+        while !self.lock().all_on() {
             let done = async {
                 match hold {
                     Some(h) => self.store.renew(h, self.policy.ttl / 2).await.map(|()| h),
@@ -90,7 +95,7 @@
     /// Opens the gate once every controller of the settings is known to have
     /// what is behind it, by its own word or by its record.
     pub(crate) async fn gate(&self, a: Authority) -> &'static str {
-        while !self.lock().chains {
+        while !self.lock().all_on() {
             match self.store.list(key::MEMBER).await {
                 Ok(members) => {
                     // it was there when the list was made; how old its own word
@@ -106,14 +111,24 @@
                 Err(e) => tracing::debug!("records of members: {e}"),
             }
             let names = self.config.siblings.iter().map(|s| s.name.as_str());
-            let all = lock(&self.peers.roster).all_have(names, CHAINS, self.policy.cut_keep, Instant::now());
-            if all {
-                let gates = Gates { on: known(), term: a.term };
+            let (already, stamp) = {
+                let i = self.lock();
+                // what is on stays on
+                ([(CHAINS, i.chains), (TOLD, i.told_since.is_some())], i.gates)
+            };
+            let is_on = |f: &str| already.contains(&(f, true));
+            let on: Vec<String> = {
+                let (now, roster) = (Instant::now(), lock(&self.peers.roster));
+                let all = |f: &str| roster.all_have(names.clone(), f, self.policy.cut_keep, now);
+                KNOWN.iter().filter(|f| is_on(f) || all(f)).map(|f| (*f).to_owned()).collect()
+            };
+            if on.iter().any(|f| !is_on(f)) {
+                let gates = Gates { on, term: a.term };
                 let mut txn = Txn { guards: vec![], writes: vec![Write::set(key::GATES, &gates)] };
                 txn.guard(key::LEADER, a.stamp);
-                txn.guard(key::GATES, 0);
+                txn.guard(key::GATES, stamp);
                 match self.store.txn(&txn).await {
-                    Ok(Outcome::Done(_)) => self.gates_are(&gates),
+                    Ok(Outcome::Done(stamp)) => self.gates_are(&gates, stamp, Instant::now()),
                     Ok(Outcome::Conflict(keys)) => tracing::info!("the gate is in conflict over {keys:?}"),
                     Err(e) => tracing::debug!("the gate: {e}"),
                 }
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 
 use crate::authority::Cut;
+use crate::cluster::raise;
 use crate::http::{self, Request, Response};
 use coralnotch_core::lookup::{Found, Lookup};
 
@@ -35,6 +36,8 @@
 
 /// A user waits 5 s for a submission; an answer after this is none.
 const SUBMIT_LIMIT: Duration = Duration::from_millis(4000);
+/// How long an answer waits for the siblings to know of a withdrawal.
+const TELL_LIMIT: Duration = Duration::from_millis(1200);
 /// Needed jobs that one query reads; the rest is the next one's.
 const MOST_READ: usize = 64;
 /// A user waits 2 s for a query.
@@ -225,7 +228,10 @@
                     return Err(Response::new(200, &self.keep_alive(&i, report, token)));
                 }
             } else if self.alone(&i, report, now) {
-                return Err(Response::new(200, &self.keep_alive(&i, report, report.token)));
+                // a start that is held up on its way finds a higher token: a
+                // withdrawal that is known here could not stop it
+                let token = if self.all_tell(&i, now) { raise(report.token) } else { report.token };
+                return Err(Response::new(200, &self.keep_alive(&i, report, token)));
             }
             return Err(match &i.leader {
                 Some(l) if l.record.name != self.config.name => {
@@ -289,7 +295,7 @@
     fn keep_alive(&self, i: &Inner, report: &Report, token: u64) -> Answer {
         count(&self.telemetry.counters.kept_alive);
         let led = |id: &Name| i.cluster.as_ref().and_then(|c| c.jobs.get(id)).and_then(|j| j.fate);
-        keep_alive(report, token, |id| i.ledger.fate(id).or_else(|| led(id)).is_some())
+        keep_alive(report, token, |id| i.withdrawals.knows(id) || i.ledger.fate(id).or_else(|| led(id)).is_some())
     }
 
     /// Why a job can never run, if it cannot.
@@ -518,7 +524,7 @@
         if let Some((fate, at)) = fate {
             let mut i = self.lock();
             if fate == Fate::Cancelled {
-                i.withdrawals.add(at, id);
+                i.withdrawals.add(at, id, Instant::now());
             }
             i.ledger.remember(Ended { spec: open.spec.clone(), stamp: open.stamp, fate });
         }
@@ -761,12 +767,46 @@
         if fate == Some(None) && !self.may_call_open(&id).await {
             return Response::refuse(503, "what it needs has to be looked at");
         }
+        if fate == Some(Some(Fate::Cancelled)) && !self.may_tell(&id).await {
+            return Response::refuse(503, "not every controller knows of it yet");
+        }
         match fate {
             Some(fate) => Response::new(200, &self.state(&id, fate)),
             None => Response::refuse(503, "the state service does not answer"),
         }
     }
 
+    /// Whether a user may be told now that a job is cancelled; waits a little for the
+    /// siblings to know.
+    async fn may_tell(&self, id: &Name) -> bool {
+        let limit = Instant::now() + TELL_LIMIT;
+        loop {
+            let told = self.told.listen();
+            let now = Instant::now();
+            {
+                let mut guard = self.lock();
+                let i = &mut *guard;
+                if i.told_since.is_none() {
+                    return true;
+                }
+                // whoever renews unknowing counts on it that nobody tells who may
+                // not have seen that all do so
+                if !may_lead(self.whole(i), &self.policy, now) {
+                    return false;
+                }
+                if i.clear_of(id, now) {
+                    i.telling.clear(id);
+                }
+                if i.telling.may_tell(id, &i.withdrawals, &self.policy, now) {
+                    return true;
+                }
+            }
+            self.to_tell.notify(usize::MAX);
+            let Some(left) = limit.checked_duration_since(now) else { return false };
+            timed(left.min(self.policy.renew / 4), told).await;
+        }
+    }
+
     /// Whether a job without an end may be called unfinished: what it needs, as far
     /// as a user can have been told for long, is not cancelled.
     async fn may_call_open(&self, id: &Name) -> bool {
@@ -803,7 +843,14 @@
         if !valid_id(id) {
             return Response::refuse(404, "no such job");
         }
-        match timed(SUBMIT_LIMIT, self.cancel(id)).await {
+        let cancel = async {
+            let fate = self.cancel(id).await?;
+            match fate {
+                Some(Fate::Cancelled) if !self.may_tell(&id.into()).await => Err(Error::Refused(503)),
+                fate => Ok(fate),
+            }
+        };
+        match timed(SUBMIT_LIMIT, cancel).await {
             Some(Ok(Some(fate))) => Response::new(200, &self.state(&id.into(), Some(fate))),
             Some(Ok(None)) => Response::refuse(404, "no such job"),
             Some(Err(_)) | None => Response::refuse(503, "the state service does not answer"),
--- a/src/node.rs
+++ b/src/node.rs
@@ -21,7 +21,7 @@
 use crate::telemetry::Telemetry;
 use crate::turns::Lag;
 use crate::wait::Wake;
-use coralnotch_core::knowledge::{may_lead, may_renew, Knowledge, Withdrawals};
+use coralnotch_core::knowledge::{may_lead, may_renew, Knowledge, Telling, Withdrawals};
 
 /// The leader as seen in the store.
 #[derive(Debug, Clone)]
@@ -46,6 +46,12 @@
     pub withdrawals: Withdrawals,
     /// Since when none is missing here.
     pub knowledge: Knowledge,
+    /// Those whose users are still to be told.
+    pub telling: Telling,
+    /// Since when this controller knows that all tell by that; see `gate::TOLD`.
+    pub told_since: Option<Instant>,
+    /// Stamp of the record of what is on.
+    pub gates: u64,
     /// Who leads.
     pub leader: Option<LeaderSeen>,
     /// Our own right to act.
@@ -94,12 +100,15 @@
 impl Inner {
     /// Nothing is known yet; the ledger will keep so many ended jobs, and so many
     /// withdrawals are kept to account for.
-    pub fn new(ended_kept: usize, withdrawals: usize) -> Inner {
+    pub fn new(ended_kept: usize, withdrawals: usize, siblings: usize) -> Inner {
         // told apart from every other life of this controller
         let life = RandomState::new().build_hasher().finish();
         Inner {
             withdrawals: Withdrawals::new(life, withdrawals),
             knowledge: Knowledge::default(),
+            telling: Telling::new(siblings, withdrawals),
+            told_since: None,
+            gates: 0,
             asked: None,
             ledger: Ledger::new(ended_kept),
             synced: false,
@@ -121,6 +130,16 @@
     pub fn acts(&self, now: Instant) -> bool {
         self.authority.is_some_and(|a| now < a.until)
     }
+
+    /// Whether all that this version has is on.
+    pub fn all_on(&self) -> bool {
+        self.chains && self.told_since.is_some()
+    }
+
+    /// Whether this controller leads and finds nothing of a job on any machine.
+    pub fn clear_of(&self, id: &Name, now: Instant) -> bool {
+        self.acts(now) && self.cluster.as_ref().is_some_and(|c| c.clear_of(id))
+    }
 }
 
 /// A controller.
@@ -150,6 +169,10 @@
     pub to_command: Wake,
     /// A transaction of the leader's went through.
     pub stored: event_listener::Event,
+    /// There is a withdrawal to tell siblings of.
+    pub to_tell: event_listener::Event,
+    /// A sibling knows of one, or the leader found nothing of it.
+    pub told: event_listener::Event,
     /// The leader changed.
     pub to_lead: Wake,
     /// Users' requests on their way to the store.
@@ -173,7 +196,7 @@
         // no more can be stored while anybody may have to be told of them
         let withdrawals = limits.write_rps * policy.cancel.as_secs_f64();
         Node {
-            inner: Mutex::new(Inner::new(policy.ended_kept, withdrawals.ceil() as usize)),
+            inner: Mutex::new(Inner::new(policy.ended_kept, withdrawals.ceil() as usize, config.siblings.len())),
             policy,
             store,
             cloud: http::Client::default(),
@@ -185,6 +208,8 @@
             workers: http::Client::new(most_idle),
             to_command: Wake::default(),
             stored: event_listener::Event::new(),
+            to_tell: event_listener::Event::new(),
+            told: event_listener::Event::new(),
             to_lead: Wake::default(),
             intake: Intake::new(lookups, now),
             telemetry: Telemetry::default(),
@@ -234,10 +259,16 @@
         i.knowledge.whole(self.config.siblings.iter().map(|s| s.name.as_str()))
     }
 
+    /// Whether all tell users of withdrawals only when all know.  Whoever does not
+    /// know that it is on has a picture older than any on which it is told.
+    pub fn all_tell(&self, i: &Inner, now: Instant) -> bool {
+        i.told_since.is_some_and(|t| now.saturating_duration_since(t) >= self.policy.cancel)
+    }
+
     /// Whether what is known of withdrawals is young enough to renew workers'
     /// leases, nobody else's word being had.
     pub fn may_renew(&self, i: &Inner, now: Instant) -> bool {
-        may_renew(self.whole(i), &self.policy, now)
+        may_renew(self.whole(i), self.all_tell(i, now), &self.policy, now)
     }
 
     /// Whether this controller leads, and knows enough to go on leading.
@@ -289,7 +320,7 @@
     pub fn learn_fate(&self, id: &str, fate: Fate, stamp: u64, now: Instant) {
         let mut i = self.lock();
         if fate == Fate::Cancelled {
-            i.withdrawals.add(stamp, id);
+            i.withdrawals.add(stamp, id, now);
         }
         i.ledger.ends(id, fate);
         self.closed(&mut i, id, fate, now);
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -81,6 +81,45 @@
         Some(wire::Account { life: a.life, known: known.collect(), next: a.next, whole: a.whole })
     }
 
+    /// Tells the siblings of withdrawals whose users wait, each as soon as it can be
+    /// reached, and asks the leader among them what is left of these.
+    pub async fn tell(&self) {
+        let each = self.peers.links.iter().enumerate().map(|(n, l)| self.tell_one(n, l));
+        futures_util::future::join_all(each).await;
+    }
+
+    async fn tell_one(&self, n: usize, l: &Link) {
+        loop {
+            let more = self.to_tell.listen();
+            let (known, new) = {
+                let mut guard = self.lock();
+                let i = &mut *guard;
+                i.telling.for_sibling(n, &i.withdrawals, &self.policy, Instant::now())
+            };
+            if known.is_empty() {
+                more.await;
+                continue;
+            }
+            if !new {
+                // it knows; what is left of them, the leader may say later
+                smol::Timer::after(self.policy.renew / 2).await;
+            }
+            let told = known.iter().map(|w| wire::Withdrawal { stamp: w.stamp, id: w.id.to_string() });
+            let ask = wire::TellRequest { known: told.collect() };
+            let answer = self.peers.call(l, self.policy.peer_limit, |mut c| async move { c.tell(ask).await }).await;
+            let Some(answer) = answer else {
+                smol::Timer::after(self.policy.renew / 2).await;
+                continue;
+            };
+            {
+                let mut i = self.lock();
+                i.telling.taken(n, &known);
+                answer.clear.iter().for_each(|id| i.telling.clear(&id.as_str().into()));
+            }
+            self.told.notify(usize::MAX);
+        }
+    }
+
     /// Follows the leader's progress, and in trouble all siblings' state.
     pub async fn follow(&self) {
         loop {
@@ -95,7 +134,7 @@
             }
             let (leader, gated) = {
                 let i = self.lock();
-                (i.leader.as_ref().map(|l| l.record.name.clone()), !i.chains)
+                (i.leader.as_ref().map(|l| l.record.name.clone()), !i.all_on())
             };
             // until all is on everybody is asked, and so told what is here
             let asked = self.peers.links.iter().filter(|l| trouble || gated || leader.as_deref() == Some(&l.name));
@@ -190,6 +229,19 @@
         }))
     }
 
+    async fn tell(
+        &self,
+        r: tonic::Request<wire::TellRequest>,
+    ) -> Result<tonic::Response<wire::TellResponse>, tonic::Status> {
+        let (known, now) = (r.into_inner().known, Instant::now());
+        for w in &known {
+            self.0.learn_fate(&w.id, Fate::Cancelled, w.stamp, now);
+        }
+        let i = self.0.lock();
+        let clear = known.into_iter().map(|w| w.id).filter(|id| i.clear_of(&id.as_str().into(), now)).collect();
+        Ok(tonic::Response::new(wire::TellResponse { clear }))
+    }
+
     async fn status(
         &self,
         r: tonic::Request<wire::StatusRequest>,
--- a/src/run.rs
+++ b/src/run.rs
@@ -40,6 +40,8 @@
         let n = node.clone();
         turns.duty(async move { n.follow().await });
         let n = node.clone();
+        turns.duty(async move { n.tell().await });
+        let n = node.clone();
         turns.duty(async move { n.show().await });
         let n = node.clone();
         turns.duty(async move { n.pulse().await });
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -33,7 +33,7 @@
                     }
                 } else if path == key::GATES {
                     if let Some(g) = read_value::<Gates>(&path, data) {
-                        self.gates_are(&g);
+                        self.gates_are(&g, e.stamp, now);
                     }
                 } else if path == key::TYPES {
                     if let Some(t) = read_value::<Vec<MachineType>>(&path, data) {
@@ -88,7 +88,7 @@
         {
             let mut i = self.lock();
             i.ledger.begins(epoch);
-            i.withdrawals.begins(epoch);
+            i.withdrawals.begins(epoch, sent);
             if page.rows.is_empty() {
                 i.leader = None;
             }
