--- a/src/peers.rs
+++ b/src/peers.rs
@@ -126,7 +126,7 @@
             let trouble = self.store.failing() || {
                 // served, and yet the watch shows nothing: siblings know more
                 let i = self.lock();
-                i.synced && self.whole(&i).is_some_and(|t| t.elapsed() > self.policy.ttl * 2)
+                i.synced && self.whole(&i).is_some_and(|t| t.elapsed() > self.policy.ttl * 3)
             };
             if self.store.silent() {
                 // the end of a cut has to be noticed soon
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -170,8 +170,10 @@
             return "the state service holds the layout of an earlier version (keys under c1/): \
                     finish its jobs with that version, or remove the keys, and start again";
         }
-        // what an answer proves is as old as its question: it must not wait long
-        let block = self.policy.ttl / 2;
+        // what an answer proves is as old as its question: it must not wait for as
+        // long as leases are renewed on it.  Played with a third of this, a state
+        // service in trouble left more watches without an answer
+        let block = self.policy.ttl.mul_f64(1.5);
         loop {
             let mut since = match self.catch_up().await {
                 Ok(epoch) => epoch,
