--- a/packages/core/src/gate.rs
+++ b/packages/core/src/gate.rs
@@ -29,6 +29,14 @@
     pub term: u64,
 }
 
+/// The next record of what is on, if there is more to come: what is on stays on, and
+/// what all have comes on.
+pub fn raised(is_on: impl Fn(&str) -> bool, all_have: impl Fn(&str) -> bool) -> Option<Vec<String>> {
+    let more = KNOWN.iter().any(|f| !is_on(f) && all_have(f));
+    let on = KNOWN.iter().filter(|f| is_on(f) || all_have(f)).map(|f| (*f).to_owned());
+    more.then(|| on.collect())
+}
+
 /// What a controller leaves in the store, on its lease.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Member {
@@ -87,6 +95,19 @@
 mod tests {
     use super::*;
 
+    /// A record of the version before this one has its one feature on: that stays, the
+    /// next comes when all have it, and nothing is written without need.
+    #[test]
+    fn features_come_on_one_by_one_and_stay() {
+        let names = |l: &[&str]| Some(l.iter().map(|f| (*f).to_owned()).collect::<Vec<_>>());
+        assert_eq!(raised(|_| false, |_| false), None);
+        assert_eq!(raised(|_| false, |f| f == CHAINS), names(&[CHAINS]));
+        assert_eq!(raised(|f| f == CHAINS, |_| false), None, "who comes back old takes nothing away");
+        assert_eq!(raised(|f| f == CHAINS, |f| f == TOLD), names(&[CHAINS, TOLD]));
+        assert_eq!(raised(|f| f == TOLD, |f| f == CHAINS), names(&[CHAINS, TOLD]));
+        assert_eq!(raised(|_| true, |_| true), None);
+    }
+
     /// An old controller that comes back, one that is silent and one that was
     /// never heard of each keep a feature off.
     #[test]
--- a/src/gates.rs
+++ b/src/gates.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use coralnotch_core::gate::{Gates, Member, Shown, CHAINS, KNOWN, TOLD};
+use coralnotch_core::gate::{raised, Gates, Member, Shown, CHAINS, KNOWN, TOLD};
 
 use crate::authority::Authority;
 use crate::node::Node;
@@ -117,12 +117,11 @@
                 ([(CHAINS, i.chains), (TOLD, i.told_since.is_some())], i.gates)
             };
             let is_on = |f: &str| already.contains(&(f, true));
-            let on: Vec<String> = {
+            let on = {
                 let (now, roster) = (Instant::now(), lock(&self.peers.roster));
-                let all = |f: &str| roster.all_have(names.clone(), f, self.policy.cut_keep, now);
-                KNOWN.iter().filter(|f| is_on(f) || all(f)).map(|f| (*f).to_owned()).collect()
+                raised(is_on, |f| roster.all_have(names.clone(), f, self.policy.cut_keep, now))
             };
-            if on.iter().any(|f| !is_on(f)) {
+            if let Some(on) = on {
                 let gates = Gates { on, term: a.term };
                 let mut txn = Txn { guards: vec![], writes: vec![Write::set(key::GATES, &gates)] };
                 txn.guard(key::LEADER, a.stamp);
