Knowledge: the age of an end is reckoned in one place

may_tell and for_sibling each wrote the same comparison. No change of behaviour; core's tests, clippy and the format check pass.

--- a/packages/core/src/knowledge.rs
+++ b/packages/core/src/knowledge.rs
@@ -141,6 +141,11 @@
         self.listed.get(id).copied().or(self.began.map(|t| (t, 0)))
     }
 
+    /// How long an end has been known, at least.
+    fn age(&self, id: &str, now: Instant) -> Option<Duration> {
+        self.learned(id).map(|(t, _)| now.saturating_duration_since(t))
+    }
+
     /// For a sibling that knows all up to a revision and has had the first `next` of
     /// the list of a life.  `None`: a gap, nothing can be accounted for.
     pub fn account(&self, since: u64, life: u64, next: u64) -> Option<Account> {
@@ -181,8 +186,7 @@
         if self.siblings == 0 || self.settled.contains(id) {
             return true;
         }
-        let old = |t: Instant| now.saturating_duration_since(t) >= p.cancel;
-        if known.learned(id).is_some_and(|(t, _)| old(t)) {
+        if known.age(id, now).is_some_and(|t| t >= p.cancel) {
             self.open.remove(id);
             return true;
         }
@@ -192,9 +196,8 @@
 
     /// What a sibling is to be told, and whether some of it is new to it.
     pub fn for_sibling(&mut self, n: usize, known: &Withdrawals, p: &Policy, now: Instant) -> (Vec<Withdrawal>, bool) {
-        let old = |t: Instant| now.saturating_duration_since(t) >= p.cancel;
         // nobody asks any more
-        self.open.retain(|id, _| known.learned(id).is_some_and(|(t, _)| !old(t)));
+        self.open.retain(|id, _| known.age(id, now).is_some_and(|t| t < p.cancel));
         let new = self.open.values().any(|by| !by.contains(&n));
         let of = |id: &Name| Withdrawal { stamp: known.learned(id).map_or(0, |l| l.1), id: id.clone() };
         (self.open.keys().take(MOST_TOLD).map(of).collect(), new)
