--- a/tools/days.py
+++ b/tools/days.py
@@ -8,6 +8,7 @@
                      [--run CLASS:F]... [--cancelled CLASS:SHARE]... [--day NAME]
                      [--crash AT:COUNT[:EVERY:TIMES]]... [--cut AT:FOR]...
                      [--fault KIND,KEY=VALUE,...]... [--pairs [--only-pairs]]
+                     [--meet NAME,NAME,...]...
 
 --size scales machines, capacity, traffic, guarantees, limits of teams and the
 number of machines in each trouble.  --run multiplies how long the tasks of a class
@@ -18,7 +19,8 @@
 knows, for example node_cut,at_s=120,count=1,busiest=true,from_state=true,for_s=4,
 mode=refuse.  All of these go to every day of the site, or, with --day, to one new
 day that has no others.  --pairs adds a day for each pair of the troubles that meet,
-overlapping, drawn by the seed.  Prints the path of the new site file.  Exit code 2:
+overlapping, drawn by the seed; --meet adds a day of just these together (an unknown
+name prints those that there are).  Prints the path of the new site file.  Exit code 2:
 bad input, all faults of it at once; nothing is written then.
 """
 
@@ -34,18 +36,30 @@
 except ImportError:
     sys.exit("days.py: needs Python 3.11 or later")
 
-SCALED_FAULTS = ("machine_die", "machine_hang", "machine_sick", "machine_slow", "machine_deaf")
+SCALED_FAULTS = (
+    "cancel_now",
+    "machine_deaf",
+    "machine_die",
+    "machine_hang",
+    "machine_mute",
+    "machine_sick",
+    "machine_slow",
+)
 
 # the troubles that the bench knows, with what each may say besides at_s
 KINDS = {
     "boot_trouble": "fail factor for_s",
+    "cancel_at_end": "share for_s",
+    "cancel_now": "count hang_s",
+    "close_looks": "for_s",
     "cloud_outage": "for_s",
     "job_burst": "class factor for_s",
-    "late_reports": "share for_s",
-    "late_writes": "share for_s",
+    "late_reports": "share for_s for_next",
+    "late_writes": "share for_s at_once",
     "machine_deaf": "count share zone for_s",
     "machine_die": "count",
     "machine_hang": "count for_s",
+    "machine_mute": "count share zone for_s",
     "machine_sick": "count for_s",
     "machine_slow": "count factor for_s",
     "node_crash": "count busiest",
@@ -54,6 +68,7 @@
     "node_freeze": "count busiest for_s",
     "node_roll": "every_s",
     "node_slow": "count busiest factor for_s",
+    "odd_requests": "for_s",
     "peers_refuse": "for_s",
     "spot_taken": "share notice_s over_s zone",
     "state_limits": "value_kb txn_ops write_rps",
@@ -202,6 +217,31 @@
         ],
         "freeze": lambda t: [{"at_s": t, "kind": "node_freeze", **busiest, "for_s": lasts(lease)}],
         "no_cloud": lambda t: [{"at_s": t, "kind": "cloud_outage", "for_s": lasts(cancel)}],
+        "lost_answers": lambda t: [
+            {"at_s": t, "kind": "late_writes", "share": 0.3, "for_s": lasts(lease * 2), "at_once": True}
+        ],
+        "reports_for_next": lambda t: [
+            {"at_s": t, "kind": "late_reports", "share": 0.3, "for_s": lasts(lease * 2), "for_next": True}
+        ],
+        "mute": lambda t: [
+            {"at_s": t, "kind": "machine_mute", "count": max(machines // 8, 1), "for_s": lasts(lease * 1.5)}
+        ],
+        "cancel_now": lambda t: [
+            {"at_s": round(t + n * lease / 3, 1), "kind": "cancel_now", "count": 12, "hang_s": lasts(lease * 1.5)}
+            for n in range(4)
+        ],
+        "cancel_at_end": lambda t: [{"at_s": t, "kind": "cancel_at_end", "share": 0.5, "for_s": lasts(cancel * 2)}],
+        "odd": lambda t: [{"at_s": t, "kind": "odd_requests", "for_s": lasts(cancel * 2)}],
+        "close_looks": lambda t: [{"at_s": t, "kind": "close_looks", "for_s": lasts(cancel * 2)}],
+        "refused_cancel": lambda t: [
+            refused(t, 1.0),
+            {"at_s": t, "kind": "cancel_now", "count": 12, "hang_s": 0.0},
+            {"at_s": t + 1.0, "kind": "state_outage", "for_s": round(cancel * 1.2, 1)},
+        ],
+        "ten_leaders": lambda t: [{"at_s": t + n * 12.0, "kind": "node_crash", **busiest} for n in range(10)],
+        "all_away": lambda t: [
+            {"at_s": t, "kind": "node_down", "count": site["nodes"]["count"], "busiest": True, "for_s": round(lease * 1.2, 1)}
+        ],
     }
 
 
@@ -217,6 +257,19 @@
     return days
 
 
+def together(site, names, rng, n):
+    """A day of these troubles, the later ones while the first lasts."""
+    at = round(site.get("warmup_s", 0.0) + 30.0, 1)
+    of = meetings(site, rng)
+    for name in names:
+        if name not in of:
+            fail(f"--meet {','.join(names)}: unknown trouble {name}; known: {' '.join(of)}")
+    starts = [at] + [round(at + rng.uniform(0.0, 12.0), 1) for _ in names[1:]]
+    met = [fault for name, t in zip(names, starts) if name in of for fault in of[name](t)]
+    met.sort(key=lambda f: f["at_s"])
+    return {"name": "-".join(names), "slot": "scale", "light": False, "seed": rng.randrange(10**6) + n, "faults": met}
+
+
 def main():
     p = argparse.ArgumentParser(add_help=True, description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
     p.add_argument("site", type=pathlib.Path)
@@ -230,6 +283,7 @@
     p.add_argument("--day")
     p.add_argument("--pairs", action="store_true")
     p.add_argument("--only-pairs", action="store_true")
+    p.add_argument("--meet", action="append", default=[])
     a = p.parse_args()
     if not 0 < a.size <= 100:
         fail(f"--size {a.size}: above 0, at most 100")
@@ -271,6 +325,10 @@
         if fault.get("class", classes and classes[0]) not in classes:
             fail(f"{fault['class']}: no class of {a.site.name}; it has {' '.join(classes)}")
     settled()
+    met_days = [
+        together(site, names.split(","), random.Random(f"{a.seed or 0} {names}"), n) for n, names in enumerate(a.meet)
+    ]
+    settled()
     scale(site, a.size)
     if a.restart_delay is not None:
         site["nodes"]["restart_delay_s"] = a.restart_delay
@@ -289,9 +347,11 @@
         day["faults"] = sorted(day.get("faults", []) + added, key=lambda f: f["at_s"])
         if a.seed is not None:
             day["seed"] = a.seed + n
-    if a.pairs or a.only_pairs:
+    if a.pairs or a.only_pairs and not a.meet:
         met = pairs(site, random.Random(a.seed or 0))
         site["day"] = met if a.only_pairs else site["day"] + met
+    if a.meet:
+        site["day"] = ([] if a.only_pairs else site["day"]) + met_days
     if a.seed is not None:
         site["seed"] = a.seed
     if (a.out / a.site.name).resolve() == a.site.resolve():
