--- /dev/null
+++ b/packages/client/src/journal/tests.rs
@@ -0,0 +1,75 @@
+use super::*;
+use coralnotch_wire::example::spec;
+use std::fs;
+
+/// A file of its own in the system's directory, gone with this.
+struct Place(PathBuf);
+
+impl Place {
+    fn new(name: &str) -> Place {
+        let path = std::env::temp_dir().join(format!("coralnotch-journal-{}-{name}", std::process::id()));
+        let _ = fs::remove_file(&path);
+        Place(path)
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let _ = fs::remove_file(&self.0);
+    }
+}
+
+#[test]
+fn what_is_on_record_is_there_again() {
+    let place = Place::new("again");
+    let j = Journal::open(&place.0).expect("a new journal");
+    assert!(matches!(Journal::open(&place.0), Err(Fault::Open { .. })));
+    j.add(&[spec("j-1", 1), spec("j-2", 2)], Some("a")).expect("room");
+    assert_eq!(j.add(&[spec("j-9", 1)], Some("a")).expect("room"), None, "a batch of that name was there");
+    j.change(&["j-2".into(), "j-3".into()], |r| r.answer = Some(Final::Done)).expect("room");
+    drop(j);
+    let j = Journal::open(&place.0).expect("the journal");
+    let all = j.all().expect("two jobs");
+    let found: Vec<_> = all.iter().map(|r| (&*r.spec.id, r.answer.clone())).collect();
+    assert_eq!(found, [("j-1", None), ("j-2", Some(Final::Done))]);
+    // the same again is no news; another one of the same id is refused
+    // with all that came beside it
+    assert_eq!(j.add(&[spec("j-2", 2)], None).expect("known").expect("no batch")[0].answer, Some(Final::Done));
+    assert!(matches!(j.add(&[spec("j-4", 1), spec("j-2", 9)], None), Err(Fault::Taken { id }) if id == "j-2"));
+    assert_eq!(j.all().expect("readable").len(), 2);
+    j.remove("j-2").expect("room");
+    assert_eq!(j.all().expect("readable").len(), 1);
+}
+
+/// What is no journal, or none any more, is named and left as it is.
+#[test]
+fn damaged_and_foreign_files_are_left_alone() {
+    let place = Place::new("foreign");
+    let text = b"the only copy of something else\n".repeat(200);
+    fs::write(&place.0, &text).expect("a file");
+    assert!(matches!(Journal::open(&place.0), Err(Fault::Corrupt { .. })));
+    assert_eq!(fs::read(&place.0).expect("still there"), text);
+    let place = Place::new("layout");
+    let j = Journal::open(&place.0).expect("a new journal");
+    let txn = j.db.begin_write().expect("a transaction");
+    txn.open_table(META).expect("a table").insert("layout", "7").expect("room");
+    txn.commit().expect("room");
+    drop(j);
+    assert!(matches!(Journal::open(&place.0), Err(Fault::Layout { found, .. }) if found == "7"));
+    let place = Place::new("record");
+    let j = Journal::open(&place.0).expect("a new journal");
+    let txn = j.db.begin_write().expect("a transaction");
+    txn.open_table(JOBS).expect("a table").insert("j-1", &b"{\"spec\":"[..]).expect("room");
+    txn.commit().expect("room");
+    assert!(matches!(j.all(), Err(Fault::Corrupt { .. })));
+    assert!(matches!(j.add(&[spec("j-1", 1)], None), Err(Fault::Corrupt { .. })), "not overwritten");
+}
+
+#[test]
+fn what_the_system_says_becomes_what_to_do() {
+    let of = |kind: io::ErrorKind| io_fault(Path::new("x"), &kind.into()).to_string();
+    assert!(of(io::ErrorKind::StorageFull).contains("free some"));
+    assert!(of(io::ErrorKind::ReadOnlyFilesystem).contains("mounted"));
+    assert!(of(io::ErrorKind::PermissionDenied).contains("owns"));
+    assert!(matches!(Journal::open(Path::new("/no/such/dir/journal")), Err(Fault::Io { .. })));
+}
--- /dev/null
+++ b/packages/core/src/dependency/tests.rs
@@ -0,0 +1,158 @@
+use super::*;
+use crate::sim::spec;
+use proptest::prelude::*;
+use std::collections::HashMap;
+
+fn id(n: usize) -> Name {
+    format!("j-{n:06}").into()
+}
+
+fn job(n: usize, needs: &[usize], rank: Rank) -> Arc<Spec> {
+    Arc::new(Spec { needs: needs.iter().map(|n| id(*n)).collect(), rank, ..(*spec(&id(n), 1)).clone() })
+}
+
+/// The same, written plainly: all is worked out from the whole graph.
+#[derive(Default)]
+struct Plain {
+    jobs: Vec<Arc<Spec>>,
+    fates: HashMap<Name, Fate>,
+    order: Vec<Name>,
+}
+
+impl Plain {
+    fn spec(&self, id: &Name) -> Option<&Arc<Spec>> {
+        self.jobs.iter().find(|j| j.id == *id)
+    }
+    fn open(&self, id: &Name) -> bool {
+        !self.fates.contains_key(id)
+    }
+    fn waits(&self, j: &Spec) -> bool {
+        self.open(&j.id) && j.needs.iter().any(|n| self.fates.get(n) != Some(&Fate::Done))
+    }
+    fn doomed(&self, id: &Name) -> bool {
+        let needs = self.spec(id).map(|j| j.needs.clone()).unwrap_or_default();
+        self.open(id)
+            && needs.iter().any(|n| self.fates.get(n) == Some(&Fate::Cancelled) || self.open(n) && self.doomed(n))
+    }
+    fn rank(&self, id: &Name) -> Rank {
+        let own = self.spec(id).map_or(Rank::Low, |j| j.rank);
+        let needing = self.jobs.iter().filter(|j| self.waits(j) && j.needs.contains(id));
+        needing.map(|j| self.rank(&j.id)).fold(own, Rank::min)
+    }
+}
+
+proptest! {
+    /// Held against the plain reading, through submissions in any order of
+    /// arrival, ends and cancellations, with needs that are unknown at first.
+    #[test]
+    fn the_graph_is_what_a_plain_reading_says(
+        ops in prop::collection::vec((0u8..8, 0usize..24, prop::collection::vec(0usize..24, 0..4), 0usize..4), 1..80),
+    ) {
+        let (mut d, mut p, now) = (Dependency::default(), Plain::default(), Instant::now());
+        let ranks = [Rank::Production, Rank::High, Rank::Normal, Rank::Low];
+        let mut free: BTreeSet<Name> = BTreeSet::new();
+        for (op, pick, needs, rank) in ops {
+            match op {
+                0..=3 => {
+                    // only jobs that were accepted are ever named
+                    let n = p.jobs.len();
+                    let needs: Vec<usize> = needs.into_iter().filter(|m| *m < n).collect();
+                    let spec = job(n, &needs, ranks[rank]);
+                    p.jobs.push(spec.clone());
+                    let fates = &p.fates;
+                    // an end may have left memory: then the store is asked
+                    let forgot = pick % 2 == 0;
+                    let look = |n: &Name| match fates.get(n) {
+                        None => Need::Open,
+                        Some(_) if forgot => Need::Unknown,
+                        Some(f) => Need::Over(*f),
+                    };
+                    if !d.hold(&spec, n as u64, now, look) {
+                        free.insert(spec.id.clone());
+                    }
+                    for n in d.to_ask(99, Duration::from_secs(1), now) {
+                        if let Some(f) = p.fates.get(&n).copied() {
+                            free.extend(d.ended(&n, f).into_iter().map(|h| h.spec.id.clone()));
+                        }
+                    }
+                }
+                4 | 5 => {
+                    let can: Vec<Name> = free.iter().filter(|n| p.open(n)).cloned().collect();
+                    if can.is_empty() { continue; }
+                    let n = can[pick % can.len()].clone();
+                    p.fates.insert(n.clone(), Fate::Done);
+                    free.extend(d.ended(&n, Fate::Done).into_iter().map(|h| h.spec.id.clone()));
+                }
+                6 => {
+                    let can: Vec<Name> = p.jobs.iter().map(|j| j.id.clone()).filter(|n| p.open(n)).collect();
+                    if can.is_empty() { continue; }
+                    let n = can[pick % can.len()].clone();
+                    p.fates.insert(n.clone(), Fate::Cancelled);
+                    prop_assert!(d.ended(&n, Fate::Cancelled).is_empty());
+                }
+                _ => {
+                    // some of the doomed get their own end
+                    let due: Vec<Name> = d.doomed().take(2).cloned().collect();
+                    for n in due {
+                        p.fates.insert(n.clone(), Fate::Cancelled);
+                        d.ended(&n, Fate::Cancelled);
+                    }
+                }
+            }
+            p.order = d.doomed().cloned().collect();
+            for j in &p.jobs {
+                let waits = p.waits(j);
+                prop_assert_eq!(d.holds(&j.id), waits, "{} waits", j.id);
+                prop_assert_eq!(free.contains(&j.id) && p.open(&j.id), p.open(&j.id) && !waits);
+                prop_assert_eq!(p.order.contains(&j.id), p.doomed(&j.id), "{} is doomed", j.id);
+                if p.open(&j.id) {
+                    let rank = d.urgency(&j.id, Urgency::own(j, now)).rank;
+                    prop_assert_eq!(rank, p.rank(&j.id), "rank of {}", j.id);
+                }
+            }
+            prop_assert!(d.unknown.is_empty());
+        }
+    }
+}
+
+/// A chain of five thousand, a job needed by five thousand, and a diamond:
+/// nothing recurs, and each end costs what it changes.
+#[test]
+fn long_chains_and_wide_ones() {
+    const N: usize = 5000;
+    let now = Instant::now();
+    let open = |_: &Name| Need::Open;
+    let mut d = Dependency::default();
+    for n in 1..=N {
+        assert!(d.hold(&job(n, &[n - 1], Rank::Low), n as u64, now, open));
+    }
+    assert_eq!(d.edges.after(&id(0), usize::MAX).len(), N);
+    assert_eq!(d.edges.after(&id(0), 7), (1..8).map(id).collect::<Vec<_>>());
+    let own = Urgency { rank: Rank::Low, due: None };
+    assert!(d.hold(&job(N + 1, &[N], Rank::High), 1, now, open));
+    assert_eq!(d.urgency(&id(0), own).rank, Rank::High, "through the whole chain");
+    d.ended(&id(N + 1), Fate::Cancelled);
+    assert_eq!(d.urgency(&id(0), own).rank, Rank::Low, "and back");
+    d.ended(&id(0), Fate::Cancelled);
+    assert_eq!(d.doomed().count(), N);
+
+    let mut d = Dependency::default();
+    for n in 1..=N {
+        d.hold(&job(n, &[0], Rank::High), n as u64, now, open);
+    }
+    assert_eq!(d.ended(&id(0), Fate::Done).len(), N);
+    assert!(d.is_empty() && d.edges.is_empty() && d.inherited.is_empty());
+
+    let mut d = Dependency::default();
+    for (n, needs) in [(1, vec![0]), (2, vec![0]), (3, vec![1, 2])] {
+        d.hold(&job(n, &needs, Rank::Normal), n as u64, now, open);
+    }
+    let freed = |d: &mut Dependency, n| {
+        let mut l: Vec<Name> = d.ended(&id(n), Fate::Done).into_iter().map(|h| h.spec.id.clone()).collect();
+        l.sort();
+        l
+    };
+    assert_eq!(freed(&mut d, 0), [id(1), id(2)]);
+    assert_eq!(freed(&mut d, 2), [] as [Name; 0]);
+    assert_eq!(freed(&mut d, 1), [id(3)]);
+}
--- /dev/null
+++ b/packages/core/src/knowledge/tests.rs
@@ -0,0 +1,249 @@
+use super::*;
+use crate::config::Config;
+use coralnotch_policy::example::SETTINGS;
+use proptest::prelude::*;
+use std::collections::HashSet;
+
+/// The last lease is over in time, whatever the clocks do within their drift.
+#[test]
+fn the_last_lease_ends_within_cancel() {
+    let with = |cancel: f64, lease: f64| {
+        let text = SETTINGS.replace("cancel_s = 60.0", &format!("cancel_s = {cancel:?}"));
+        let text = text.replace("lease_s = 30.0", &format!("lease_s = {lease:?}"));
+        Policy::new(&Config::parse("test", &text).expect("settings")).expect("the default policy")
+    };
+    for (cancel, lease) in [(60.0, 30.0), (61.0, 36.0), (31.0, 30.0), (20.0, 30.0), (600.0, 12.0)] {
+        let p = with(cancel, lease);
+        let last = renews_for(&p, false).as_secs_f64() * (1.0 + p.drift) + lease * (1.0 + p.drift);
+        assert!(last < cancel || renews_for(&p, false).is_zero(), "{cancel} {lease}");
+        // and no more is given away than clocks and a renewal take
+        assert!(last > cancel - p.renew.as_secs_f64() * 2.0 || renews_for(&p, false).is_zero(), "{cancel} {lease}");
+        assert!(leads_for(&p) >= p.ttl * 3);
+    }
+}
+
+/// A controller of the generated world: its list, its picture, and what a user
+/// was told by it in any life, and when.
+struct One {
+    list: Withdrawals,
+    known: HashSet<Name>,
+    /// Revision of its watch; `None` before its first.
+    watch: Option<u64>,
+    knowledge: Knowledge,
+}
+
+/// What happens: somebody is refused or served, a user withdraws at one, a
+/// watch answers one, one asks another, one ends and is back.
+#[derive(Debug, Clone)]
+enum Step {
+    Served(usize, bool),
+    Withdraw(usize),
+    /// An end that nobody hears the answer of.
+    Doubt,
+    Read(usize),
+    Watch(usize),
+    Ask(usize, usize),
+    End(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let who = 0usize..3;
+    prop_oneof![
+        2 => (who.clone(), any::<bool>()).prop_map(|(w, s)| Step::Served(w, s)),
+        4 => who.clone().prop_map(Step::Withdraw),
+        1 => Just(Step::Doubt),
+        2 => who.clone().prop_map(Step::Read),
+        4 => who.clone().prop_map(Step::Watch),
+        8 => (who.clone(), who.clone()).prop_map(|(a, b)| Step::Ask(a, b)),
+        1 => who.prop_map(Step::End),
+    ]
+}
+
+/// Left out on purpose, to see that the test is not blind.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Without {
+    Nothing,
+    /// An account from a life that began later counts as well.
+    Floor,
+    /// Most of the siblings will do.
+    All,
+    /// What was read or stored here is no part of the account.
+    Own,
+    /// An account is as new as its answer.
+    Sending,
+}
+
+/// Runs the steps, one a second; whether a withdrawal that a user was told of
+/// before a picture was whole was missing from it.
+fn misses(steps: &[Step], most: usize, without: Without) -> bool {
+    const NAMES: [&str; 3] = ["a", "b", "c"];
+    let t0 = Instant::now();
+    let mut life = 0;
+    let mut born = |most| {
+        life += 1;
+        let mut list = Withdrawals::new(life, most);
+        if without == Without::Floor {
+            list.begins(0, t0);
+        }
+        One { list, known: HashSet::new(), watch: None, knowledge: Knowledge::default() }
+    };
+    let mut all: Vec<One> = (0..3).map(|_| born(most)).collect();
+    let mut served = [true; 3];
+    // the store's ends by revision, and when users were told of them first
+    let mut ends: Vec<Name> = Vec::new();
+    let mut told: HashMap<Name, Instant> = HashMap::new();
+    for (n, s) in steps.iter().enumerate() {
+        let now = t0 + Duration::from_secs(n as u64 + 1);
+        match *s {
+            Step::Served(w, s) => served[w] = s,
+            Step::Doubt => ends.push(format!("j-{n}").into()),
+            Step::Withdraw(w) if served[w] => {
+                let id: Name = format!("j-{n}").into();
+                ends.push(id.clone());
+                told.insert(id.clone(), now);
+                if without != Without::Own {
+                    all[w].list.add(ends.len() as u64, &id, now);
+                }
+                all[w].known.insert(id);
+            }
+            Step::Read(w) if served[w] && !ends.is_empty() => {
+                let at = ends.len() - 1;
+                let id = ends[at].clone();
+                told.entry(id.clone()).or_insert(now);
+                if without != Without::Own {
+                    all[w].list.add(at as u64 + 1, &id, now);
+                }
+                all[w].known.insert(id);
+            }
+            Step::Watch(w) if served[w] => {
+                let o = &mut all[w];
+                let since = match o.watch {
+                    Some(e) => e as usize,
+                    None => {
+                        // the first read: all ends so far, none of them listed
+                        o.list.begins(ends.len() as u64, now);
+                        o.known.extend(ends.iter().cloned());
+                        ends.len()
+                    }
+                };
+                for (at, id) in ends.iter().enumerate().skip(since) {
+                    o.list.add(at as u64 + 1, id, now);
+                    o.known.insert(id.clone());
+                }
+                o.watch = Some(ends.len() as u64);
+                o.knowledge.shown(now);
+            }
+            Step::Ask(a, b) if a != b => {
+                let Some(since) = all[a].watch else { continue };
+                let (life, next) = all[a].knowledge.asks(NAMES[b]);
+                let Some(account) = all[b].list.account(since, life, next) else { continue };
+                for w in &account.known {
+                    all[a].list.add(w.stamp, &w.id, now);
+                    all[a].known.insert(w.id.clone());
+                }
+                let late = Duration::from_secs(2 * u64::from(without == Without::Sending));
+                all[a].knowledge.told(NAMES[b], now + late, &account);
+            }
+            Step::End(w) => all[w] = born(most),
+            _ => {}
+        }
+        for (w, o) in all.iter().enumerate() {
+            let others = NAMES.iter().enumerate().filter(|(n, _)| *n != w).map(|(_, n)| *n);
+            let whole = match without {
+                Without::All => others.filter_map(|o2| o.knowledge.told.get(o2)?.at).max().max(o.knowledge.shown),
+                _ => o.knowledge.whole(others),
+            };
+            let missing = |(id, t): (&Name, &Instant)| whole.is_some_and(|w| *t < w) && !o.known.contains(id);
+            if o.watch.is_some() && told.iter().any(missing) {
+                return true;
+            }
+        }
+    }
+    false
+}
+
+proptest! {
+    /// No withdrawal that a user was told of before a picture was whole is
+    /// missing from it, through refusals, ends, doubts and lists that overflow.
+    #[test]
+    fn a_whole_picture_misses_nothing(steps in prop::collection::vec(step(), 1..90), most in 1usize..9) {
+        prop_assert!(!misses(&steps, most, Without::Nothing));
+    }
+}
+
+/// Each part of the argument left out is noticed.
+#[test]
+fn what_makes_it_whole_is_needed() {
+    use proptest::strategy::ValueTree;
+    use proptest::test_runner::TestRunner;
+    for without in [Without::Floor, Without::All, Without::Own, Without::Sending] {
+        let mut runner = TestRunner::deterministic();
+        let days = prop::collection::vec(step(), 60..90);
+        let seen = (0..2000).any(|_| {
+            let steps = days.new_tree(&mut runner).expect("steps").current();
+            misses(&steps, 4, without)
+        });
+        assert!(seen, "{without:?} went unnoticed");
+    }
+}
+
+/// An account longer than an answer comes in parts, and only its end counts.
+#[test]
+fn an_account_comes_in_parts() {
+    let t0 = Instant::now();
+    let mut list = Withdrawals::new(7, 10_000);
+    list.begins(10, t0);
+    for n in 0..1300u64 {
+        list.add(11 + n, &format!("j-{n}"), t0);
+    }
+    assert!(list.account(9, 0, 0).is_none(), "a gap");
+    let mut k = Knowledge::default();
+    let mut had = 0;
+    for part in 0..3 {
+        let (life, next) = k.asks("b");
+        let a = list.account(10, life, next).expect("no gap");
+        had += a.known.len();
+        k.told("b", t0, &a);
+        assert_eq!(k.whole(["b"]).is_some(), part == 2);
+    }
+    assert_eq!(had, 1300);
+    assert!(k.whole(["b", "c"]).is_none(), "one sibling has not accounted");
+    let nobody: [&str; 0] = [];
+    assert!(Knowledge::default().whole(nobody).is_none(), "nobody's word is no word");
+}
+
+/// A user is told when all siblings know, when the leader finds nothing left, or
+/// when whoever does not know has stopped in time; never before.
+#[test]
+fn a_user_is_told_when_nobody_can_renew_unknowing() {
+    let p = Policy::new(&Config::parse("test", SETTINGS).expect("settings")).expect("the default policy");
+    let t0 = Instant::now();
+    let s = |n: u64| t0 + Duration::from_secs(n);
+    let mut known = Withdrawals::new(1, 100);
+    known.begins(5, s(0));
+    let names: Vec<Name> = ["j-1", "j-2", "j-3"].map(Name::from).into();
+    names.iter().for_each(|n| known.add(9, n, s(100)));
+    let mut t = Telling::new(2, 10);
+    for n in &names {
+        assert!(!t.may_tell(n, &known, &p, s(100)));
+    }
+    let (told, new) = t.for_sibling(0, &known, &p, s(100));
+    assert!(new && told.len() == 3 && told[0].stamp == 9);
+    t.taken(0, &told);
+    assert!(!t.for_sibling(0, &known, &p, s(101)).1, "nothing new to it");
+    assert!(!t.may_tell(&names[0], &known, &p, s(101)), "one of two knows");
+    t.taken(1, &told[..1]);
+    assert!(t.may_tell(&names[0], &known, &p, s(101)));
+    t.clear(&names[1]);
+    assert!(t.may_tell(&names[1], &known, &p, s(101)));
+    let end = s(100) + p.cancel;
+    assert!(!t.may_tell(&names[2], &known, &p, end - Duration::from_millis(1)));
+    assert!(t.may_tell(&names[2], &known, &p, end));
+    // who renews by that has stopped in time: its picture is older than the end
+    let last = s(100) + renews_for(&p, true);
+    assert!(last + p.lease <= end + p.cancel);
+    // an end from before this life is as old as this life, at least
+    assert!(!t.may_tell(&"j-0".into(), &known, &p, s(59)));
+    assert!(t.may_tell(&"j-0".into(), &known, &p, s(60)));
+    assert!(Telling::new(0, 1).may_tell(&"j-9".into(), &known, &p, s(0)), "one alone");
+}
--- /dev/null
+++ b/packages/core/src/ledger/tests.rs
@@ -0,0 +1,37 @@
+use super::*;
+use coralnotch_wire::example::spec;
+
+/// What needs a cancelled job must not be called queued for long: the end of a
+/// chain is judged by all that it needs, also through others, and what is not
+/// known is asked for.
+#[test]
+fn a_chain_is_spoilt_by_any_of_it() {
+    let job = |id: &str, needs: &[&str]| {
+        let needs = needs.iter().map(|n| Name::from(*n)).collect();
+        Arc::new(Spec { needs, ..(*spec(id, 1)).clone() })
+    };
+    let mut l = Ledger::new(2);
+    l.seen(job("j-1", &[]), 1);
+    l.seen(job("j-2", &["j-1"]), 2);
+    l.seen(job("j-3", &["j-2", "j-0"]), 3);
+    assert_eq!(l.spoilt("j-2"), Spoilt::No);
+    assert_eq!(l.spoilt("j-3"), Spoilt::Unknown(vec!["j-0".into()]));
+    // it ended before this controller began, and is read
+    assert!(!l.ends("j-0", Fate::Done));
+    assert_eq!(l.spoilt("j-3"), Spoilt::No);
+    l.ends("j-1", Fate::Cancelled);
+    assert_eq!((l.spoilt("j-2"), l.spoilt("j-3")), (Spoilt::Yes, Spoilt::Yes));
+    // ended jobs leave the memory, but not what is needed
+    l.remember(Ended { spec: job("j-8", &[]), stamp: 8, fate: Fate::Done });
+    l.remember(Ended { spec: job("j-9", &[]), stamp: 9, fate: Fate::Done });
+    assert_eq!((l.fate("j-1"), l.spoilt("j-2")), (None, Spoilt::Yes));
+    assert_eq!(l.judged.len(), 2);
+    l.ends("j-3", Fate::Cancelled);
+    l.ends("j-2", Fate::Cancelled);
+    assert!(l.judged.is_empty());
+    // thousands deep: nothing recurs
+    for n in 100..5100 {
+        l.seen(job(&format!("j-{n}"), &[&format!("j-{}", n - 1)]), n);
+    }
+    assert_eq!(l.spoilt("j-5099"), Spoilt::Unknown(vec!["j-99".into()]));
+}
--- /dev/null
+++ b/packages/core/src/workers/tests.rs
@@ -0,0 +1,182 @@
+/// Found by the seeded world: a direct start, held up for longer than a job's
+/// cancellation has, found a machine that its zone's controller had kept alive
+/// under the token of that start.  The controller raises the token; the leader
+/// goes on from there, and no other term's token passes for its own.
+#[test]
+fn a_start_that_a_cut_held_up_finds_a_higher_token() {
+    use crate::cluster::raise;
+    let now = Instant::now();
+    let mut c = cluster(3, now);
+    let seen = c.token();
+    let held = raise(seen);
+    assert!(held > seen, "the worker refuses what left under the token before");
+    let full = (4 << 24) - 1;
+    assert_eq!(raise(full), full, "never into the next term");
+    let report = |tally, token| Report {
+        machine: "i-1".into(),
+        address: "127.0.0.1:9".into(),
+        kind: "t".into(),
+        zone: "z0".into(),
+        spot: false,
+        session: 1,
+        tally,
+        token,
+        notice_s: None,
+        tasks: vec![],
+    };
+    assert_eq!(c.report(&report(1, seen), true, now), Some(true));
+    let m = c.machines.get_mut("i-1").expect("it reported");
+    (m.doubt, m.direct) = (Some(seen), Some(0));
+    // the cut heals: it speaks the leader's term, and a token that it never gave
+    assert_eq!(c.report(&report(2, held), true, now), Some(true));
+    assert_eq!(c.machines["i-1"].doubt, None, "the start is refused by now");
+    assert!(c.answer(&report(2, held), now).token >= held, "or the answer would be dropped");
+    assert_eq!(c.report(&report(3, 4 << 24), true, now), None, "a later term's");
+}
+
+use super::*;
+use crate::sim::{cluster, spec};
+
+const RUNNING: Told = (TaskState::Running, None);
+const FAILED: Told = (TaskState::Ended, Some(Cause::Error));
+const DONE: Told = (TaskState::Ended, Some(Cause::Done));
+
+/// State and cause, as reported.
+type Told = (TaskState, Option<Cause>);
+
+/// Machines that report, and what the leader makes of it.
+struct Floor {
+    c: Cluster,
+    tally: u64,
+    now: Instant,
+}
+
+impl Floor {
+    /// So many machines, of eight cores each.
+    fn new(machines: usize) -> Floor {
+        let now = Instant::now();
+        let mut f = Floor { c: cluster(1, now), tally: 0, now };
+        for i in 0..machines {
+            f.reports(i, &[]);
+        }
+        f
+    }
+
+    fn reports(&mut self, machine: usize, tasks: &[(Task, u64, Told)]) {
+        self.tally += 1;
+        let task = |(task, attempt, (state, cause)): &(Task, u64, _)| Reported {
+            task: task.clone(),
+            attempt: *attempt,
+            state: *state,
+            cause: *cause,
+            saved: None,
+        };
+        let r = Report {
+            machine: format!("i-{machine:04}").into(),
+            address: "127.0.0.1:9".into(),
+            kind: "t".into(),
+            zone: format!("z{}", machine % 3).into(),
+            spot: false,
+            session: 1,
+            tally: self.tally,
+            token: self.c.token(),
+            notice_s: None,
+            tasks: tasks.iter().map(task).collect(),
+        };
+        assert_eq!(self.c.report(&r, true, self.now), Some(true));
+    }
+
+    /// Time passes, and all that was placed is told as `state` says.
+    fn all_tell(&mut self, state: impl Fn(usize, &str) -> Told) {
+        self.now += Duration::from_millis(500);
+        for i in 0..self.c.machines.len() {
+            let m = &self.c.machines[format!("i-{i:04}").as_str()];
+            let tasks: Vec<_> = m.tasks.iter().map(|(t, p)| (t.clone(), p.attempt, state(i, &t.job))).collect();
+            self.reports(i, &tasks);
+        }
+    }
+
+    fn on(&self, job: &str) -> usize {
+        self.c.jobs[job].places.len()
+    }
+
+    fn machine(&self, i: usize) -> &Machine {
+        &self.c.machines[format!("i-{i:04}").as_str()]
+    }
+}
+
+/// A job submitted with a mistake costs single probes, further and further
+/// apart, and neither machines nor rentals nor anybody's turn.
+#[test]
+fn a_broken_job_is_probed_and_nothing_more() {
+    let mut f = Floor::new(6);
+    f.c.add_job(spec("j-000001", 100), 1, None, f.now);
+    f.c.place(f.now);
+    assert_eq!(f.on("j-000001"), 48);
+    f.all_tell(|_, _| FAILED);
+    assert!(f.c.jobs["j-000001"].suspect.is_some());
+    assert!((0..6).all(|i| f.machine(i).usable(f.now, &f.c.policy)), "a machine is blamed");
+    let mut apart = Vec::new();
+    for _ in 0..5 {
+        assert!(f.c.place(f.now).is_empty(), "a machine is rented for what only waits to fail");
+        assert_eq!(f.on("j-000001"), 1, "more than a probe");
+        f.all_tell(|_, _| FAILED);
+        assert!(f.c.place(f.now).is_empty() && f.on("j-000001") == 0);
+        let due = f.c.jobs["j-000001"].wait_until.expect("a rest");
+        apart.push(due - f.now);
+        f.now = due;
+        f.all_tell(|_, _| FAILED);
+    }
+    assert!(apart.windows(2).all(|w| w[1] >= w[0] * 3 / 2), "{apart:?}");
+    // its first success ends all that
+    f.c.place(f.now);
+    f.all_tell(|_, _| DONE);
+    f.c.place(f.now);
+    assert!(f.c.jobs["j-000001"].suspect.is_none() && f.on("j-000001") > 40);
+}
+
+/// Sick machines fail some tasks of a good job: the machines are blamed.
+#[test]
+fn sick_machines_do_not_brand_a_job() {
+    let mut f = Floor::new(12);
+    for (n, id) in ["j-000001", "j-000002"].into_iter().enumerate() {
+        f.c.add_job(spec(id, 48), n as u64 + 1, None, f.now);
+        for index in 0..48u32 {
+            let attempt = f.c.new_attempt();
+            let m: Name = format!("i-{:04}", index % 12).into();
+            assert!(f.c.assign(&Task { job: id.into(), index }, &m, attempt, f.now));
+        }
+    }
+    f.all_tell(|i, _| if i < 2 { FAILED } else { RUNNING });
+    assert!(f.c.jobs.values().all(|j| j.suspect.is_none()));
+    f.c.place(f.now);
+    f.now += f.c.policy.failure_rest * 3;
+    f.all_tell(|i, _| if i < 2 { FAILED } else { RUNNING });
+    let blamed = |i: usize| f.machine(i).drain.is_some() || f.machine(i).rest_until.is_some();
+    assert!(blamed(0) && blamed(1) && !(2..12).any(blamed));
+}
+
+/// A sick machine among those that a broken job fails on is found by the
+/// good jobs that fail there, and only it is drained.
+#[test]
+fn a_sick_machine_with_a_broken_job_is_told_apart() {
+    let mut f = Floor::new(6);
+    for (n, id) in ["j-000001", "j-000002", "j-000003"].into_iter().enumerate() {
+        let mut s = (*spec(id, 12)).clone();
+        s.cpus = 1.0;
+        f.c.add_job(s.into(), n as u64 + 1, None, f.now);
+    }
+    // all three on every machine
+    for (n, id) in ["j-000001", "j-000002", "j-000003"].into_iter().enumerate() {
+        for index in 0..12u32 {
+            let attempt = f.c.new_attempt();
+            let m: Name = format!("i-{:04}", (index as usize + n) % 6).into();
+            assert!(f.c.assign(&Task { job: id.into(), index }, &m, attempt, f.now));
+        }
+    }
+    f.all_tell(|i, job| if i == 0 || job == "j-000001" { FAILED } else { RUNNING });
+    assert!(f.c.jobs["j-000001"].suspect.is_some());
+    assert!(f.c.jobs["j-000002"].suspect.is_none() && f.c.jobs["j-000003"].suspect.is_none());
+    assert_eq!(f.machine(0).drain, Some(FAILS));
+    assert!((1..6).all(|i| f.machine(i).usable(f.now, &f.c.policy)));
+}
--- /dev/null
+++ b/src/intake/tests.rs
@@ -0,0 +1,33 @@
+use super::*;
+use crate::config::Config;
+use crate::policy::Policy;
+use coralnotch_policy::example::SETTINGS;
+
+/// A controller holds thousands of connections, most of them workers', and
+/// makes many anew: each was seven KiB, the longest way of a user's request.
+#[test]
+fn a_connection_that_waits_is_small() {
+    let config = Config::parse("test", SETTINGS).expect("settings of the tests");
+    let policy = Policy::new(&config).expect("the default policy");
+    let node = Arc::new(Node::new(config, policy, Instant::now()));
+    let r = Request { method: String::new(), path: String::new(), query: String::new(), body: Vec::new() };
+    assert!(std::mem::size_of_val(&node.handle(r)) <= 1024);
+}
+
+/// A worker that is sent on tells all the same that other zones reach this
+/// controller: without that it could take itself for cut off with its zone.
+#[test]
+fn a_worker_that_is_sent_on_was_heard() {
+    let config = Config::parse("test", SETTINGS).expect("settings of the tests");
+    let policy = Policy::new(&config).expect("the default policy");
+    let node = Node::new(config, policy, Instant::now());
+    let record = crate::authority::LeaderRecord { name: "another".into(), term: 1 };
+    node.lock().leader = Some(crate::node::LeaderSeen { record, stamp: 1 });
+    let from = |zone: &str| http::encode(&std::collections::BTreeMap::from([("bay", zone)]));
+    let own = node.config.zone.clone();
+    assert_eq!(node.sends_on(&from(&own)).map(|r| r.status), Some(421));
+    assert!(node.lock().heard.is_some() && node.lock().foreign.is_none());
+    assert_eq!(node.sends_on(&from("elsewhere")).map(|r| r.status), Some(421));
+    assert!(node.lock().foreign.is_some());
+    assert!(node.sends_on(&[0x90]).is_none(), "what is no report is refused as before");
+}
--- a/tests/architecture.rs
+++ b/tests/architecture.rs
@@ -2,7 +2,7 @@
 //! only those before it.  The compiler keeps the order of packages, not this.
 
 use std::fs;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// The daemon's modules, from the ground up.
 const DAEMON: &[&str] = &[
@@ -46,11 +46,10 @@
 /// The files of a module, without their tests.
 fn text(src: &Path, module: &str) -> String {
     let dir = fs::read_dir(src.join(module)).into_iter().flatten().flatten().map(|e| e.path());
-    let files: Vec<_> = dir.chain([src.join(format!("{module}.rs"))]).filter(|f| f.is_file()).collect();
+    let files = dir.chain([src.join(format!("{module}.rs"))]).filter(|f| f.is_file() && !f.ends_with("tests.rs"));
+    let files: Vec<_> = files.collect();
     assert!(!files.is_empty(), "there is no module {module}");
-    let code =
-        |f| fs::read_to_string(f).expect("a source file").split("#[cfg(test)]").next().unwrap_or_default().to_owned();
-    files.iter().map(code).collect()
+    files.iter().map(|f| fs::read_to_string(f).expect("a source file")).collect()
 }
 
 fn imports(text: &str, module: &str) -> bool {
@@ -72,6 +71,48 @@
     }
 }
 
+/// All source files below a folder.
+fn sources(dir: &Path, into: &mut Vec<PathBuf>) {
+    for path in fs::read_dir(dir).into_iter().flatten().flatten().map(|e| e.path()) {
+        match path.is_dir() {
+            true => sources(&path, into),
+            false => into.push(path),
+        }
+    }
+}
+
+/// Whether a file may hold tests: `tests.rs` of a module, or the seeded world, which is
+/// compiled for tests only.
+fn holds_tests(path: &Path) -> bool {
+    path.ends_with("tests.rs") || path.components().any(|c| c.as_os_str() == "sim")
+}
+
+/// Tests live in test files: what is compiled for tests is a module in a file of its own.
+#[test]
+fn tests_live_in_test_files() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let mut files = Vec::new();
+    sources(&root.join("src"), &mut files);
+    for package in fs::read_dir(root.join("packages")).expect("packages").flatten() {
+        sources(&package.path().join("src"), &mut files);
+    }
+    let (mut code, mut tests) = (0, 0);
+    for f in files.iter().filter(|f| f.extension().is_some_and(|e| e == "rs")) {
+        let text = fs::read_to_string(f).expect("a source file");
+        if holds_tests(f) {
+            tests += usize::from(text.contains("#[test]"));
+            continue;
+        }
+        code += 1;
+        assert!(!text.contains("#[test]"), "{} holds a test", f.display());
+        for part in text.split("#[cfg(test)]").skip(1) {
+            let own = part.trim_start().lines().next().is_some_and(|l| l.starts_with("mod ") && l.ends_with(';'));
+            assert!(own, "{}: what is compiled for tests belongs into a file of its own", f.display());
+        }
+    }
+    assert!(code > 60 && tests > 30, "{code} source files and {tests} test files are too few");
+}
+
 #[test]
 fn modules_import_only_what_is_below() {
     let root = Path::new(env!("CARGO_MANIFEST_DIR"));
