--- a/packages/core/src/knowledge.rs
+++ b/packages/core/src/knowledge.rs
@@ -95,8 +95,9 @@
     list: VecDeque<Withdrawal>,
     /// When each was learned, and its stamp.
     listed: HashMap<Name, (Instant, u64)>,
-    /// When this life began to watch.
-    began: Option<Instant>,
+    /// What is not in the list was learned by then: when this life began to watch, or
+    /// when the last one was learned that the list let go.
+    unlisted: Option<Instant>,
     most: usize,
 }
 
@@ -104,13 +105,13 @@
     /// None, in a new life that keeps so many.
     pub fn new(life: u64, most: usize) -> Withdrawals {
         let (list, listed) = Default::default();
-        Withdrawals { life, floor: None, first: 0, list, listed, began: None, most: most.max(1) }
+        Withdrawals { life, floor: None, first: 0, list, listed, unlisted: None, most: most.max(1) }
     }
 
     /// A watch begins at this revision: what came before it and after the last one's
     /// end was not shown here.
     pub fn begins(&mut self, revision: u64, now: Instant) {
-        self.began.get_or_insert(now);
+        self.unlisted.get_or_insert(now);
         self.floor = self.floor.max(Some(revision));
     }
 
@@ -123,7 +124,10 @@
         self.list.push_back(Withdrawal { stamp, id: id.into() });
         if self.list.len() > self.most {
             if let Some(w) = self.list.pop_front() {
-                self.listed.remove(&w.id);
+                // an id that left may be one that was learned a moment ago: it must not
+                // look as old as this life
+                let learned = self.listed.remove(&w.id).map(|l| l.0);
+                self.unlisted = self.unlisted.max(learned);
                 self.first += 1;
                 self.floor = self.floor.map(|f| f.max(w.stamp));
             }
@@ -135,10 +139,10 @@
         self.listed.contains_key(id)
     }
 
-    /// When an end was learned, or if it is not in the list any more, or came before
-    /// it, when this life began; with its stamp.
+    /// When an end was learned, or by when at the latest if it is not in the list any
+    /// more or came before it; with its stamp.
     fn learned(&self, id: &str) -> Option<(Instant, u64)> {
-        self.listed.get(id).copied().or(self.began.map(|t| (t, 0)))
+        self.listed.get(id).copied().or(self.unlisted.map(|t| (t, 0)))
     }
 
     /// How long an end has been known, at least.
@@ -194,13 +198,15 @@
         false
     }
 
-    /// What a sibling is to be told, and whether some of it is new to it.
+    /// What a sibling is to be told, and whether some of it is new to it: that comes
+    /// first, or in a crowd those that it knows would stand in the way for ever.
     pub fn for_sibling(&mut self, n: usize, known: &Withdrawals, p: &Policy, now: Instant) -> (Vec<Withdrawal>, bool) {
         // nobody asks any more
         self.open.retain(|id, _| known.age(id, now).is_some_and(|t| t < p.cancel));
         let new = self.open.values().any(|by| !by.contains(&n));
         let of = |id: &Name| Withdrawal { stamp: known.learned(id).map_or(0, |l| l.1), id: id.clone() };
-        (self.open.keys().take(MOST_TOLD).map(of).collect(), new)
+        let (news, rest): (Vec<_>, Vec<_>) = self.open.iter().partition(|(_, by)| !by.contains(&n));
+        (news.into_iter().chain(rest).take(MOST_TOLD).map(|(id, _)| of(id)).collect(), new)
     }
 
     /// A sibling has taken the word of these.
--- a/packages/core/src/knowledge/tests.rs
+++ b/packages/core/src/knowledge/tests.rs
@@ -247,3 +247,50 @@
     assert!(t.may_tell(&"j-0".into(), &known, &p, s(60)));
     assert!(Telling::new(0, 1).may_tell(&"j-9".into(), &known, &p, s(0)), "one alone");
 }
+
+/// Guards against a burst: one-task jobs, four a second, a quarter of them cancelled.  An
+/// id that left the list is as old as the newest that left, not as this life; its user
+/// was told at once, with nobody asked.
+#[test]
+fn what_left_the_list_is_not_as_old_as_this_life() {
+    let p = Policy::new(&Config::parse("test", SETTINGS).expect("settings")).expect("the default policy");
+    let t0 = Instant::now();
+    let s = |n: u64| t0 + Duration::from_secs(n);
+    let mut known = Withdrawals::new(1, 3);
+    known.begins(1, s(0));
+    for n in 0..8u64 {
+        known.add(10 + n, &format!("j-{n}"), s(1000 + n));
+    }
+    let mut t = Telling::new(2, 100);
+    for n in 0..8u64 {
+        assert!(!t.may_tell(&format!("j-{n}").into(), &known, &p, s(1008)), "j-{n} was learned seconds ago");
+    }
+    // j-4 is the last that left, so no sooner than that for all of them
+    let all = s(1004) + p.cancel;
+    assert!(!t.may_tell(&"j-0".into(), &known, &p, all - Duration::from_millis(1)));
+    assert!(t.may_tell(&"j-0".into(), &known, &p, all) && t.may_tell(&"j-4".into(), &known, &p, all));
+    assert!(!t.may_tell(&"j-7".into(), &known, &p, all));
+}
+
+/// Guards against the same burst: a sibling is told of those that it has not taken first,
+/// so that all come to their turn however many there are and whatever their names.
+#[test]
+fn a_sibling_hears_first_what_is_new_to_it() {
+    let p = Policy::new(&Config::parse("test", SETTINGS).expect("settings")).expect("the default policy");
+    let now = Instant::now();
+    let mut known = Withdrawals::new(1, 5000);
+    known.begins(1, now);
+    let mut t = Telling::new(2, 5000);
+    let names: Vec<Name> = (0..3 * MOST_TOLD).map(|n| format!("j-{n:06}").into()).collect();
+    for n in &names {
+        known.add(9, n, now);
+        assert!(!t.may_tell(n, &known, &p, now));
+    }
+    // one of the siblings is cut off: nothing is settled, and all stay
+    for call in 0..3 {
+        let (told, new) = t.for_sibling(0, &known, &p, now);
+        assert!(new && told.len() == MOST_TOLD, "call {call}");
+        t.taken(0, &told);
+    }
+    assert!(!t.for_sibling(0, &known, &p, now).1, "it has heard of all in as many calls as they fill");
+}
