--- /dev/null
+++ b/packages/core/src/answers.rs
@@ -0,0 +1,334 @@
+//! What a user may be told of a job, and what has to be asked before.  Plain state; it
+//! must not know how the store or a sibling is reached, nor what the words are on the
+//! wire.
+//!
+//! Once any controller has told a user that a job is accepted, done or cancelled, no
+//! controller may say anything older to a question that comes after.  So what is known
+//! here is good for what never changes only: an end.  That a job is unfinished, or that
+//! nobody submitted it, the store says, in an answer to what was asked after the question
+//! had come; and whoever says "cancelled" sees to it that nobody can renew a lease for its
+//! tasks unknowing ([`crate::knowledge::Telling`]).
+
+use std::time::Instant;
+
+use coralnotch_policy::config::Team;
+
+use coralnotch_wire::state::{Txn, Write};
+
+use crate::key;
+use crate::knowledge::{may_lead, Telling, Withdrawals};
+use crate::ledger::{Ledger, Spoilt, Standing};
+use crate::lookup::Found;
+use crate::model::*;
+use crate::policy::Policy;
+
+/// What a user wants.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Wish {
+    /// To know how a job stands.
+    Query,
+    /// To submit it, perhaps once more.
+    Submit,
+    /// To cancel it.
+    Withdraw,
+}
+
+/// An answer.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Word {
+    /// Accepted just now.
+    Accepted,
+    /// Accepted, and not over.
+    Unfinished,
+    /// Over for good.
+    Over(Fate),
+    /// Never accepted.
+    Never,
+    /// Can never run, and was never accepted.
+    Impossible(&'static str),
+    /// Nothing can be said now.
+    Later(&'static str),
+}
+
+/// What a controller does next for a request.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Step {
+    /// Ask the store whether the id has a record and an end: [`Inquiry::looked_up`].
+    LookUp,
+    /// Have the store confirm that it has no end: [`Inquiry::confirmed`].
+    Confirm,
+    /// Look at the submission itself, and at what it needs: [`Inquiry::judged`].
+    Judge,
+    /// Store the submission, with its own end if it needs a cancelled job:
+    /// [`Inquiry::stored`].
+    Store {
+        /// It needs a cancelled job.
+        doomed: bool,
+    },
+    /// Store the job's cancellation: [`Inquiry::ended`].
+    Cancel,
+    /// Read the ends of these, as far as there are any: [`Inquiry::read`].
+    Read(Vec<Name>),
+    /// Have the siblings told, and look again when one of them knows: [`Inquiry::next`].
+    Tell,
+    /// Answer.
+    Say(Word),
+}
+
+/// What speaks against a submission.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Verdict {
+    /// Nothing; `doomed` if it needs a job that is cancelled.
+    Fine {
+        /// It needs a cancelled job.
+        doomed: bool,
+    },
+    /// It can never run.
+    Impossible(&'static str),
+    /// That can't be told now.
+    Later(&'static str),
+}
+
+/// What the store said of a submission.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Accepted {
+    /// It is stored now.
+    New {
+        /// It took so long that others may have said more of it meanwhile.
+        slow: bool,
+    },
+    /// It was there before.
+    Before,
+    /// No answer: it may be stored, or be stored later.
+    Unknown,
+}
+
+/// What a controller knows when it looks.
+#[derive(Debug)]
+pub struct View<'a> {
+    /// The jobs that it knows.
+    pub ledger: &'a mut Ledger,
+    /// The withdrawals that it knows.
+    pub withdrawals: &'a Withdrawals,
+    /// Those whose users are to be told.
+    pub telling: &'a mut Telling,
+    /// Since when none is missing.
+    pub whole: Option<Instant>,
+    /// All tell users only when all know.
+    pub all_tell: bool,
+    /// It leads, and finds nothing of the job on any machine.
+    pub clear: bool,
+    /// The policy.
+    pub policy: &'a Policy,
+    /// Now.
+    pub now: Instant,
+}
+
+impl View<'_> {
+    /// Whether the picture is young enough to say what hangs on withdrawals.
+    fn young(&self) -> bool {
+        may_lead(self.whole, self.policy, self.now)
+    }
+}
+
+/// A request on its way to its answer.
+#[derive(Debug, Clone)]
+pub struct Inquiry {
+    id: Name,
+    wish: Wish,
+    found: Option<Found>,
+    verdict: Option<Verdict>,
+    accepted: bool,
+    failed: Option<&'static str>,
+}
+
+const SILENT: &str = "the state service does not answer";
+
+impl Inquiry {
+    /// A request that has just come.
+    pub fn new(id: Name, wish: Wish) -> Inquiry {
+        Inquiry { id, wish, found: None, verdict: None, accepted: false, failed: None }
+    }
+
+    /// What to do next.
+    pub fn next(&mut self, v: &mut View) -> Step {
+        if let Some(why) = self.failed {
+            return Step::Say(Word::Later(why));
+        }
+        if !self.accepted && !matches!(self.found, Some(Found::Never | Found::Over(_))) {
+            // an end never changes, whoever learned of it in the meantime
+            match v.ledger.standing(&self.id) {
+                Standing::Ended(e) => self.found = Some(Found::Over(e.fate)),
+                Standing::Open(_) => self.found = self.found.take().or(Some(Found::Open)),
+                Standing::Unknown => {}
+            }
+        }
+        match (&self.found, self.wish) {
+            (None, Wish::Submit) => match self.verdict {
+                // a repeat is recognised before anything is said against it
+                None => Step::Judge,
+                Some(Verdict::Fine { doomed }) => Step::Store { doomed },
+                Some(Verdict::Impossible(_)) => Step::LookUp,
+                Some(Verdict::Later(why)) => Step::Say(Word::Later(why)),
+            },
+            (None, _) => Step::LookUp,
+            (Some(Found::Never), _) => Step::Say(match self.verdict {
+                Some(Verdict::Impossible(why)) => Word::Impossible(why),
+                _ => Word::Never,
+            }),
+            (Some(Found::Open | Found::Confirmed), Wish::Withdraw) => Step::Cancel,
+            (Some(Found::Open), _) => Step::Confirm,
+            (Some(Found::Confirmed), _) => self.unfinished(v),
+            (Some(Found::Over(Fate::Done)), _) => Step::Say(Word::Over(Fate::Done)),
+            (Some(Found::Over(Fate::Cancelled)), _) => self.cancelled(v),
+        }
+    }
+
+    /// The store confirms that the job has no end.  What needs a cancelled job is not
+    /// called queued all the same, however late its own end is stored.
+    fn unfinished(&mut self, v: &mut View) -> Step {
+        if self.accepted {
+            return Step::Say(Word::Accepted);
+        }
+        let needs = match v.ledger.standing(&self.id) {
+            Standing::Open(o) => !o.spec.needs.is_empty(),
+            // accepted a moment ago, or the watch is behind
+            _ => true,
+        };
+        match v.ledger.spoilt(&self.id) {
+            _ if !needs => Step::Say(Word::Unfinished),
+            Spoilt::Unknown(ids) => Step::Read(ids),
+            Spoilt::No if v.young() => Step::Say(Word::Unfinished),
+            _ => Step::Say(Word::Later("what it needs has to be looked at")),
+        }
+    }
+
+    /// Whoever renews leases unknowing counts on it that nobody tells who may not have
+    /// seen that all do so.
+    fn cancelled(&self, v: &mut View) -> Step {
+        let told = Step::Say(Word::Over(Fate::Cancelled));
+        if !v.all_tell {
+            return told;
+        }
+        if !v.young() {
+            return Step::Say(Word::Later("not every controller knows of it yet"));
+        }
+        if v.clear {
+            v.telling.clear(&self.id);
+        }
+        match v.telling.may_tell(&self.id, v.withdrawals, v.policy, v.now) {
+            true => told,
+            false => Step::Tell,
+        }
+    }
+
+    /// What the store says of the id, asked after the request had come; `None` if it can't
+    /// be told now.
+    pub fn looked_up(&mut self, found: Option<Found>) {
+        self.failed = found.is_none().then_some(SILENT);
+        self.found = found;
+    }
+
+    /// The end that the store has, if any; `None` if it can't be told now.
+    pub fn confirmed(&mut self, end: Option<Option<Fate>>) {
+        match end {
+            None => self.failed = Some(SILENT),
+            Some(None) => self.found = Some(Found::Confirmed),
+            Some(Some(fate)) => self.found = Some(Found::Over(fate)),
+        }
+    }
+
+    /// What speaks against the submission.
+    pub fn judged(&mut self, verdict: Verdict) {
+        self.verdict = Some(verdict);
+    }
+
+    /// What the store says of the submission.  An acceptance that was slow, or of which
+    /// more is known here by now, is no news: others may have said more of the job.
+    pub fn stored(&mut self, outcome: Accepted, ledger: &mut Ledger) {
+        let doomed = self.verdict == Some(Verdict::Fine { doomed: true });
+        match outcome {
+            Accepted::Unknown => self.failed = Some(SILENT),
+            Accepted::Before | Accepted::New { slow: true } => self.found = Some(Found::Open),
+            // one that ends with what it needs is accepted first, by the same transaction
+            Accepted::New { .. } if ledger.fate(&self.id).is_some() && !doomed => self.found = Some(Found::Open),
+            Accepted::New { .. } => (self.found, self.accepted) = (Some(Found::Confirmed), true),
+        }
+    }
+
+    /// The end that the job has by now, this request's or another; `None` if that can't be
+    /// told now.
+    pub fn ended(&mut self, fate: Option<Fate>) {
+        match fate {
+            None => self.failed = Some(SILENT),
+            Some(fate) => self.found = Some(Found::Over(fate)),
+        }
+    }
+
+    /// Whether all that was to be read has an end, which the ledger has by now.
+    pub fn read(&mut self, all: bool) {
+        if !all {
+            self.failed = Some("what it needs has to be looked at");
+        }
+    }
+}
+
+/// Submissions as one transaction, each guarded on being new; `doomed` ones with their own
+/// ends.  An id that comes twice is stored once, as it came first.
+pub fn submissions<'a>(all: impl Iterator<Item = (&'a Spec, bool)>) -> Txn {
+    let mut txn = Txn::default();
+    for (spec, doomed) in all {
+        let path = format!("{}{}", key::JOB, spec.id);
+        if txn.guards.iter().any(|g| g.path == path) {
+            continue;
+        }
+        txn.guard(path.clone(), 0);
+        txn.writes.push(Write::set(path, spec));
+        if doomed {
+            end(&mut txn, &spec.id);
+        }
+    }
+    txn
+}
+
+/// The cancellation of jobs, each guarded on having no end.
+pub fn cancellations(ids: &[Name]) -> Txn {
+    let mut txn = Txn::default();
+    ids.iter().for_each(|id| end(&mut txn, id));
+    txn
+}
+
+fn end(txn: &mut Txn, id: &str) {
+    let path = format!("{}{id}", key::FATE);
+    txn.guard(path.clone(), 0);
+    txn.writes.push(Write::set(path, &FateRecord { fate: Fate::Cancelled }));
+}
+
+/// Why a job can never run, if it cannot: its team, the machine types, their zones and the
+/// team's limit speak against it.
+pub fn impossible(spec: &Spec, teams: &[Team], types: &[MachineType]) -> Option<&'static str> {
+    let Some(team) = teams.iter().find(|t| *t.name == *spec.team) else {
+        return Some("unknown team");
+    };
+    let allowed = |t: &&MachineType| spec.types.as_ref().is_none_or(|l| l.contains(&t.name));
+    let mut fit = types.iter().filter(allowed).filter(|t| t.size().holds(&spec.size())).peekable();
+    if fit.peek().is_none() {
+        return Some("a task fits no allowed machine type");
+    }
+    if spec.zone.as_ref().is_some_and(|z| !fit.any(|t| t.zones.contains(z))) {
+        return Some("no allowed machine type that a task fits is in its zone");
+    }
+    let together = spec.shape != Shape::Array;
+    if together && (spec.zone.is_some() || spec.one_zone) && spec.tasks > spec.zone_cap() {
+        return Some("its tasks are to be spread and to be in one zone");
+    }
+    let n = if together { f64::from(spec.tasks) } else { 1.0 };
+    let over = |need: f64, most: f64| most > 0.0 && need * n > most + 1e-6;
+    if over(spec.cpus, team.cpus_max) || over(spec.gpus, team.gpus_max) {
+        return Some("needs more than the team's limit");
+    }
+    None
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/packages/core/src/answers/tests.rs
@@ -0,0 +1,257 @@
+use super::*;
+use crate::sim::{machine_type, spec, SETTINGS};
+use coralnotch_policy::config::Config;
+use proptest::prelude::*;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What one controller knows.
+struct Known {
+    ledger: Ledger,
+    withdrawals: Withdrawals,
+    telling: Telling,
+    policy: Policy,
+    t0: Instant,
+    young: bool,
+    all_tell: bool,
+}
+
+impl Known {
+    fn new() -> Known {
+        let policy = Policy::new(&Config::parse("test", SETTINGS).expect("settings")).expect("the default policy");
+        let t0 = Instant::now();
+        let mut withdrawals = Withdrawals::new(1, 100);
+        withdrawals.begins(1, t0);
+        let (ledger, telling) = (Ledger::new(8), Telling::new(2, 100));
+        Known { ledger, withdrawals, telling, policy, t0, young: true, all_tell: true }
+    }
+
+    fn next(&mut self, q: &mut Inquiry, after_s: u64) -> Step {
+        let now = self.t0 + Duration::from_secs(after_s);
+        q.next(&mut View {
+            ledger: &mut self.ledger,
+            withdrawals: &self.withdrawals,
+            telling: &mut self.telling,
+            whole: self.young.then_some(now),
+            all_tell: self.all_tell,
+            clear: false,
+            policy: &self.policy,
+            now,
+        })
+    }
+}
+
+fn later(s: &Step) -> bool {
+    matches!(s, Step::Say(Word::Later(_)))
+}
+
+/// Guards against an acceptance whose answer from the store is slow: another controller
+/// may have told more by then, so that it is asked for, like any question.
+#[test]
+fn a_slow_acceptance_is_confirmed() {
+    let fine = Verdict::Fine { doomed: false };
+    let accepted = |slow: bool, ended: Option<Fate>| {
+        let (mut k, mut q) = (Known::new(), Inquiry::new("j-1".into(), Wish::Submit));
+        assert_eq!(k.next(&mut q, 1), Step::Judge);
+        q.judged(fine);
+        assert_eq!(k.next(&mut q, 1), Step::Store { doomed: false });
+        k.ledger.stored(spec("j-1", 1), 5);
+        if let Some(fate) = ended {
+            k.ledger.ends("j-1", fate);
+        }
+        q.stored(Accepted::New { slow }, &mut k.ledger);
+        k.next(&mut q, 2)
+    };
+    assert_eq!(accepted(false, None), Step::Say(Word::Accepted));
+    assert_eq!(accepted(true, None), Step::Confirm);
+    assert_eq!(accepted(false, Some(Fate::Done)), Step::Say(Word::Over(Fate::Done)), "an end is known by now");
+    assert_eq!(accepted(false, Some(Fate::Cancelled)), Step::Tell);
+}
+
+/// Two requests for one id in one transaction, one of which came before the end of what
+/// the job needs was known here: stored once, as the first has it, and no end is believed
+/// that is not stored.
+#[test]
+fn an_id_that_comes_twice_is_stored_once() {
+    let (one, other) = (spec("j-1", 1), spec("j-2", 1));
+    let sets = |all: &[(&Spec, bool)]| {
+        let txn = submissions(all.iter().copied());
+        assert_eq!(txn.guards.len(), txn.writes.len(), "each key is guarded");
+        let set = |w: &Write| match w {
+            Write::Set { set, .. } => set.clone(),
+            Write::Delete { delete } => panic!("{delete} is removed"),
+        };
+        txn.writes.iter().map(set).collect::<Vec<_>>()
+    };
+    let (job, end) = (|id| format!("{}{id}", key::JOB), |id| format!("{}{id}", key::FATE));
+    assert_eq!(sets(&[(&one, false), (&one, true), (&other, false)]), [job("j-1"), job("j-2")]);
+    assert_eq!(sets(&[(&one, true), (&one, false)]), [job("j-1"), end("j-1")]);
+}
+
+/// A job that ends by the transaction that stores it is accepted first, whatever is known
+/// of its end by then.
+#[test]
+fn a_doomed_job_is_accepted_first() {
+    let (mut k, mut q) = (Known::new(), Inquiry::new("j-1".into(), Wish::Submit));
+    assert_eq!(k.next(&mut q, 1), Step::Judge);
+    q.judged(Verdict::Fine { doomed: true });
+    assert_eq!(k.next(&mut q, 1), Step::Store { doomed: true });
+    k.ledger.stored(spec("j-1", 1), 5);
+    k.ledger.ends("j-1", Fate::Cancelled);
+    q.stored(Accepted::New { slow: false }, &mut k.ledger);
+    assert_eq!(k.next(&mut q, 1), Step::Say(Word::Accepted));
+}
+
+/// A node that has not seen a job or its end yet asks; it says nothing of its own.
+#[test]
+fn what_is_not_known_here_the_store_says() {
+    for wish in [Wish::Query, Wish::Withdraw] {
+        let (mut k, mut q) = (Known::new(), Inquiry::new("j-1".into(), wish));
+        assert_eq!(k.next(&mut q, 1), Step::LookUp);
+        let mut silent = q.clone();
+        silent.looked_up(None);
+        assert!(later(&k.next(&mut silent, 1)));
+        let mut never = q.clone();
+        never.looked_up(Some(Found::Never));
+        assert_eq!(k.next(&mut never, 1), Step::Say(Word::Never));
+        q.looked_up(Some(Found::Over(Fate::Done)));
+        assert_eq!(k.next(&mut q, 1), Step::Say(Word::Over(Fate::Done)));
+    }
+    // nor does one that knows it as unfinished
+    let (mut k, mut q) = (Known::new(), Inquiry::new("j-1".into(), Wish::Query));
+    k.ledger.seen(spec("j-1", 1), 5);
+    assert_eq!(k.next(&mut q, 1), Step::Confirm);
+    let mut silent = q.clone();
+    silent.confirmed(None);
+    assert!(later(&k.next(&mut silent, 1)));
+    q.confirmed(Some(None));
+    assert_eq!(k.next(&mut q, 1), Step::Say(Word::Unfinished));
+    // a cancellation that meets the end of the last task says what the store says
+    let mut q = Inquiry::new("j-1".into(), Wish::Withdraw);
+    assert_eq!(k.next(&mut q, 1), Step::Cancel);
+    q.ended(Some(Fate::Done));
+    assert_eq!(k.next(&mut q, 1), Step::Say(Word::Over(Fate::Done)));
+}
+
+/// What can never run is refused for good only if it was never accepted; a repeat of an
+/// accepted job is answered with its state whatever would be said against it now.
+#[test]
+fn nothing_is_said_against_an_accepted_job() {
+    let (mut k, mut q) = (Known::new(), Inquiry::new("j-1".into(), Wish::Submit));
+    assert_eq!(k.next(&mut q, 1), Step::Judge);
+    q.judged(Verdict::Impossible("unknown team"));
+    assert_eq!(k.next(&mut q, 1), Step::LookUp);
+    let mut known = q.clone();
+    q.looked_up(Some(Found::Never));
+    assert_eq!(k.next(&mut q, 1), Step::Say(Word::Impossible("unknown team")));
+    known.looked_up(Some(Found::Confirmed));
+    assert_eq!(k.next(&mut known, 1), Step::Say(Word::Unfinished));
+}
+
+/// A job with many needs from before this controller's life is not called queued before
+/// all of them were read: a part of them is not enough.
+#[test]
+fn all_that_a_job_needs_is_read_first() {
+    let mut k = Known::new();
+    let needs: Vec<Name> = (100..300).map(|n| format!("j-{n}").into()).collect();
+    k.ledger.seen(Arc::new(Spec { needs, ..(*spec("j-1", 1)).clone() }), 5);
+    let mut q = Inquiry::new("j-1".into(), Wish::Query);
+    assert_eq!(k.next(&mut q, 1), Step::Confirm);
+    q.confirmed(Some(None));
+    let mut reads = 0;
+    let answer = loop {
+        match k.next(&mut q, 1) {
+            Step::Read(ids) => {
+                reads += 1;
+                ids.iter().take(64).for_each(|id| assert!(!k.ledger.ends(id, Fate::Done)));
+                q.read(true);
+            }
+            step => break step,
+        }
+    };
+    assert_eq!((reads, answer), (4, Step::Say(Word::Unfinished)));
+    k.ledger.ends("j-150", Fate::Cancelled);
+    assert!(later(&k.next(&mut q, 1)));
+    let mut q = Inquiry::new("j-1".into(), Wish::Query);
+    k.next(&mut q, 1);
+    q.confirmed(Some(None));
+    k.young = false;
+    assert!(later(&k.next(&mut q, 1)), "nor on an old picture");
+}
+
+fn teams() -> Vec<Team> {
+    let text = format!(
+        "{SETTINGS}\n[[deployment.teams]]\nname = \"x\"\ncpus = 0.0\ncpus_max = 12.0\ngpus = 0.0\ngpus_max = 4.0\n"
+    );
+    Config::parse("test", &text).expect("settings with a team").deployment.teams
+}
+
+/// A submission that can never run is refused, each for its own reason; one that can is not.
+#[test]
+fn what_can_never_run_is_told_apart() {
+    let types = [
+        MachineType { zones: vec!["a".into(), "b".into()], ..machine_type("s") },
+        MachineType { zones: vec!["c".into()], cpus: 16.0, gpus: 2.0, ..machine_type("g") },
+    ];
+    let plain = spec("j-1", 2);
+    let with = |change: &dyn Fn(&mut Spec)| {
+        let mut s = (*plain).clone();
+        change(&mut s);
+        impossible(&s, &teams(), &types)
+    };
+    type Change = fn(&mut Spec);
+    let fine: [Change; 8] = [
+        |_| {},
+        |s| s.zone = Some("a".into()),
+        |s| (s.zone, s.gpus) = (Some("c".into()), 2.0),
+        |s| (s.types, s.zone) = (Some(vec!["g".into(), "none".into()]), Some("c".into())),
+        |s| (s.tasks, s.cpus) = (5000, 12.0),
+        |s| (s.spread, s.shape) = (true, Shape::Service),
+        // an array's tasks may run one after another
+        |s| (s.spread, s.zone) = (true, Some("a".into())),
+        |s| (s.spread, s.shape, s.tasks, s.one_zone) = (true, Shape::Gang, 1, true),
+    ];
+    for (n, change) in fine.iter().enumerate() {
+        assert_eq!(with(change), None, "{n}");
+    }
+    let never: [(Change, &str); 12] = [
+        (|s| s.team = "z".into(), "team"),
+        (|s| s.types = Some(vec![]), "fits no"),
+        (|s| s.types = Some(vec!["none".into()]), "fits no"),
+        (|s| s.memory = 65.0, "fits no"),
+        (|s| s.cpus = 17.0, "fits no"),
+        (|s| s.zone = Some("nowhere".into()), "zone"),
+        // a type that there is, in a zone that there is, and not there
+        (|s| (s.types, s.zone) = (Some(vec!["g".into()]), Some("a".into())), "zone"),
+        (|s| (s.gpus, s.zone) = (1.0, Some("b".into())), "zone"),
+        (|s| s.cpus = 13.0, "limit"),
+        (|s| (s.shape, s.tasks, s.cpus) = (Shape::Gang, 4, 4.0), "limit"),
+        (|s| (s.shape, s.tasks, s.gpus) = (Shape::Service, 3, 2.0), "limit"),
+        (|s| (s.shape, s.spread, s.one_zone) = (Shape::Service, true, true), "spread"),
+    ];
+    for (n, (change, part)) in never.iter().enumerate() {
+        assert!(with(change).is_some_and(|why| why.contains(part)), "{n}: {:?}", with(change));
+    }
+}
+
+proptest! {
+    /// A submission that lacks a field, or has one of a wrong kind, is malformed: never
+    /// accepted, whichever field it is.
+    #[test]
+    fn no_field_may_lack(at in 0usize..40, kind in 0usize..3) {
+        let optional = ["hulls", "bay", "dueS", "awaits"];
+        let full = rmpv::decode::read_value(&mut &coralnotch_wire::http::encode(&*spec("j-1", 1))[..]).expect("a map");
+        let rmpv::Value::Map(mut fields) = full else { panic!("a map") };
+        let at = at % fields.len();
+        let name = fields[at].0.as_str().expect("a name").to_owned();
+        match kind {
+            0 => drop(fields.remove(at)),
+            1 => fields[at].1 = rmpv::Value::Nil,
+            _ => fields[at].1 = rmpv::Value::Map(vec![]),
+        }
+        let mut bytes = Vec::new();
+        rmpv::encode::write_value(&mut bytes, &rmpv::Value::Map(fields)).expect("to memory");
+        let read = coralnotch_wire::http::decode::<Spec>(&bytes);
+        prop_assert_eq!(read.is_ok(), kind < 2 && optional.contains(&name.as_str()), "{}", name);
+    }
+}
--- a/packages/core/src/lib.rs
+++ b/packages/core/src/lib.rs
@@ -1,6 +1,7 @@
 //! Decisions: what a leading controller knows of a cluster, and the steps on it.
 //! Plain functions of state and `now`: no socket, no clock, no thread in here.
 
+pub mod answers;
 pub mod cluster;
 pub mod commit;
 pub mod dependency;
--- a/packages/wire/src/lib.rs
+++ b/packages/wire/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod cloud;
 pub mod example;
+pub mod history;
 pub mod http;
 pub mod model;
 pub mod state;
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -14,14 +14,14 @@
 use crate::authority::Cut;
 use crate::cluster::raise;
 use crate::http::{self, Request, Response};
+use coralnotch_core::answers::{
+    cancellations, impossible, submissions, Accepted, Inquiry, Step, Verdict, View, Wish, Word,
+};
 use coralnotch_core::lookup::{Found, Lookup};
 
-use coralnotch_core::knowledge::may_lead;
-
-use crate::ledger::{Ended, Open, Spoilt, Standing};
+use crate::ledger::{Ended, Open, Standing};
 use crate::model::*;
 use crate::node::{Inner, Node};
-use crate::queues::Accepted;
 use crate::siblings::wire;
 use crate::store::{key, read_value, Error, Outcome, Txn, Write};
 use crate::telemetry::{count, Timed};
@@ -298,25 +298,6 @@
         keep_alive(report, token, |id| i.withdrawals.knows(id) || i.ledger.fate(id).or_else(|| led(id)).is_some())
     }
 
-    /// Why a job can never run, if it cannot.
-    fn never(&self, spec: &Spec) -> Option<&'static str> {
-        let Some(team) = self.config.deployment.teams.iter().find(|t| *t.name == *spec.team) else {
-            return Some("unknown team");
-        };
-        let i = self.lock();
-        let fits =
-            |t: &&MachineType| spec.types.as_ref().is_none_or(|l| l.contains(&t.name)) && t.size().holds(&spec.size());
-        if !i.types.iter().any(|t| fits(&t)) {
-            return Some("a task fits no allowed machine type");
-        }
-        let n = if spec.shape == Shape::Array { 1.0 } else { f64::from(spec.tasks) };
-        let over = |need: f64, most: f64| most > 0.0 && need * n > most + 1e-6;
-        if over(spec.cpus, team.cpus_max) || over(spec.gpus, team.gpus_max) {
-            return Some("needs more than the team's limit");
-        }
-        None
-    }
-
     async fn submit(&self, body: &[u8]) -> Response {
         let spec: Spec = match http::decode(body) {
             Ok(s) => s,
@@ -325,54 +306,49 @@
         if let Some(why) = spec.fault() {
             return Response::refuse(400, why);
         }
-        let (known, ready) = {
-            let mut i = self.lock();
-            (i.ledger.standing(&spec.id) != Standing::Unknown, i.synced && !i.types.is_empty())
-        };
-        // a repeat is recognised before anything is said against it
-        if known {
-            return self.query(&spec.id, false).await;
-        }
-        if !ready {
-            return Response::refuse(503, "not ready");
-        }
-        if let Some(why) = self.never(&spec) {
-            return self.refuse_new(&spec.id, why).await;
+        let id = spec.id.clone();
+        let word = self.inquire(&id, Wish::Submit, Some(Arc::new(spec))).await;
+        self.say(&id, word)
+    }
+
+    /// What speaks against a submission that is not known here.
+    async fn judge(&self, spec: &Spec) -> Verdict {
+        {
+            let i = self.lock();
+            if !i.synced || i.types.is_empty() {
+                return Verdict::Later("not ready");
+            }
+            if let Some(why) = impossible(spec, &self.config.deployment.teams, &i.types) {
+                return Verdict::Impossible(why);
+            }
         }
-        if stored_bytes(&spec) > self.store.most.value_bytes {
-            return Response::refuse(503, "larger than the state service takes now");
+        if stored_bytes(spec) > self.store.most.value_bytes {
+            return Verdict::Later("larger than the state service takes now");
         }
-        let doomed = match self.judge_needs(&spec).await {
-            Ok(doomed) => doomed,
-            Err(r) => return r,
-        };
-        let id = spec.id.clone();
+        self.judge_needs(spec).await
+    }
+
+    /// Hands a submission over to be stored, with those that wait meanwhile.
+    async fn stored(&self, spec: Arc<Spec>, doomed: bool) -> Accepted {
         let (reply, answer) = smol::channel::bounded(1);
-        if self.intake.submissions.0.try_send((Arc::new(spec), doomed, reply)).is_err() {
-            return Response::refuse(503, "too many submissions");
-        }
-        match timed(SUBMIT_LIMIT, answer.recv()).await {
-            Some(Ok(Accepted::New)) => {
-                Response::new(201, &JobState { id, stage: "pending".into(), done: 0, running: 0 })
-            }
-            // the store has it; whether it is over is not known
-            Some(Ok(Accepted::Before)) => self.told(&id, Found::Open).await,
-            _ => Response::refuse(503, "the state service does not answer"),
+        if self.intake.submissions.0.try_send((spec, doomed, reply)).is_err() {
+            return Accepted::Unknown;
         }
+        timed(SUBMIT_LIMIT, answer.recv()).await.and_then(Result::ok).unwrap_or(Accepted::Unknown)
     }
 
     /// Whether a job that needs others can be taken, and whether one of these is
-    /// known to be cancelled, so that it ends with it.  Otherwise the answer.
+    /// known to be cancelled, so that it ends with it.
     /// "Never accepted" is the store's word alone: what is known here may lag.
-    async fn judge_needs(&self, spec: &Spec) -> Result<bool, Response> {
+    async fn judge_needs(&self, spec: &Spec) -> Verdict {
         if spec.needs.is_empty() {
-            return Ok(false);
+            return Verdict::Fine { doomed: false };
         }
         let (mut unknown, mut doomed, mut wrong) = (Vec::new(), false, None);
         {
             let mut i = self.lock();
             if !i.chains {
-                return Err(Response::refuse(503, "not every controller knows of jobs that wait for others yet"));
+                return Verdict::Later("not every controller knows of jobs that wait for others yet");
             }
             for n in &spec.needs {
                 let needed = match i.ledger.standing(n) {
@@ -397,23 +373,10 @@
         if wrong.is_none() && !unknown.is_empty() {
             wrong = match timed(QUERY_LIMIT, self.exist(&unknown)).await.flatten() {
                 Some(wrong) => wrong,
-                None => return Err(Response::refuse(503, "the state service does not answer")),
+                None => return Verdict::Later("the state service does not answer"),
             };
         }
-        match wrong {
-            Some(why) => Err(self.refuse_new(&spec.id, why).await),
-            None => Ok(doomed),
-        }
-    }
-
-    /// Refuses a job for good, unless it was accepted before: a repeat is
-    /// recognised before anything is said against it.
-    async fn refuse_new(&self, id: &str, why: &str) -> Response {
-        match self.find(id).await {
-            Some(Found::Never) => Response::refuse(422, why),
-            Some(found) => self.told(id, found).await,
-            None => Response::refuse(503, "the state service does not answer"),
-        }
+        wrong.map_or(Verdict::Fine { doomed }, Verdict::Impossible)
     }
 
     /// What speaks against needing these jobs, which are not known here; many in
@@ -458,31 +421,23 @@
             }
             let mut tries = 0;
             while !batch.is_empty() {
-                let mut txn = Txn::default();
-                for (spec, doomed, _) in &batch {
-                    let path = format!("{}{}", key::JOB, spec.id);
-                    // twice the same id in one batch: once is enough
-                    if !txn.guards.iter().any(|g| g.path == path) {
-                        txn.guard(path.clone(), 0);
-                        txn.writes.push(Write::set(path, &**spec));
-                        if *doomed {
-                            let path = format!("{}{}", key::FATE, spec.id);
-                            txn.guard(path.clone(), 0);
-                            txn.writes.push(Write::set(path, &FateRecord { fate: Fate::Cancelled }));
-                        }
-                    }
-                }
+                let txn = submissions(batch.iter().map(|(spec, doomed, _)| (&**spec, *doomed)));
+                let sent = Instant::now();
                 let outcome = self.store.txn(&txn).await;
                 let now = Instant::now();
                 match outcome {
                     Ok(Outcome::Done(stamp)) => {
-                        for (spec, doomed, reply) in batch.drain(..) {
+                        let slow = now.duration_since(sent) > self.policy.renew;
+                        for (spec, _, reply) in batch.drain(..) {
                             let id = spec.id.clone();
                             self.stored_job(spec, stamp, now);
-                            if doomed {
+                            // by what was stored: the same id may have come twice, and one
+                            // of the two before the end of what it needs was known
+                            let end = format!("{}{id}", key::FATE);
+                            if txn.writes.iter().any(|w| matches!(w, Write::Set { set, .. } if *set == end)) {
                                 self.learn_fate(&id, Fate::Cancelled, stamp, now);
                             }
-                            let _ = reply.try_send(Accepted::New);
+                            let _ = reply.try_send(Accepted::New { slow });
                         }
                     }
                     Ok(Outcome::Conflict(failed)) => {
@@ -531,15 +486,10 @@
         Ok(Some((open, fate.map(|f| f.0))))
     }
 
-    /// How a job stands; `None` if that cannot be told now.
-    async fn find(&self, id: &str) -> Option<Found> {
-        match self.lock().ledger.standing(id) {
-            Standing::Open(_) => return Some(Found::Open),
-            Standing::Ended(e) => return Some(Found::Over(e.fate)),
-            Standing::Unknown => {}
-        }
+    /// What the store says of an id, asked from now on; `None` if it can't be told now.
+    async fn look(&self, id: &Name) -> Option<Found> {
         let (reply, answer) = smol::channel::bounded(1);
-        if self.intake.lookups.0.try_send((id.into(), reply)).is_err() {
+        if self.intake.lookups.0.try_send((id.clone(), reply)).is_err() {
             count(&self.telemetry.counters.lookups_refused);
             return None;
         }
@@ -605,11 +555,8 @@
         }
     }
 
-    /// The job's end, or `None` if the store confirms that it has none.
-    async fn fate_of(&self, id: &Name) -> Option<Option<Fate>> {
-        if let Some(f) = self.lock().ledger.fate(id) {
-            return Some(Some(f));
-        }
+    /// The job's end, or none by the store's word; `None` if it can't be told now.
+    async fn end_of(&self, id: &Name) -> Option<Option<Fate>> {
         let (reply, answer) = smol::channel::bounded(1);
         self.intake.checks.0.try_send((id.clone(), reply)).ok()?;
         timed(QUERY_LIMIT, answer.recv()).await?.ok()?
@@ -736,155 +683,117 @@
         Explained { state, waits_for, cancelled_with }
     }
 
-    async fn query(&self, id: &str, why: bool) -> Response {
-        if !valid_id(id) {
-            return Response::refuse(404, "no such job");
-        }
-        match self.find(id).await {
-            Some(Found::Never) => Response::refuse(404, "no such job"),
-            Some(found) if why => {
-                let answer = self.told(id, found).await;
-                match http::decode::<JobState>(&answer.body).ok().filter(|_| answer.status == 200) {
-                    Some(state) => Response::new(200, &self.explained(state)),
-                    None => answer,
-                }
-            }
-            Some(found) => self.told(id, found).await,
-            None => Response::refuse(503, "the state service does not answer"),
-        }
-    }
-
-    /// The answer to a user about a job that was accepted.
-    async fn told(&self, id: &str, found: Found) -> Response {
-        let id: Name = id.into();
-        let fate = match found {
-            Found::Over(fate) => Some(Some(fate)),
-            Found::Confirmed => Some(None),
-            _ => self.fate_of(&id).await,
-        };
-        // a job that needs a cancelled one is not called queued, however late its
-        // own end is stored; refused, its user asks again
-        if fate == Some(None) && !self.may_call_open(&id).await {
-            return Response::refuse(503, "what it needs has to be looked at");
-        }
-        if fate == Some(Some(Fate::Cancelled)) && !self.may_tell(&id).await {
-            return Response::refuse(503, "not every controller knows of it yet");
-        }
-        match fate {
-            Some(fate) => Response::new(200, &self.state(&id, fate)),
-            None => Response::refuse(503, "the state service does not answer"),
-        }
-    }
-
-    /// Whether a user may be told now that a job is cancelled; waits a little for the
-    /// siblings to know.
-    async fn may_tell(&self, id: &Name) -> bool {
-        let limit = Instant::now() + TELL_LIMIT;
+    /// Answers a request as `core/answers` has it: asks what that wants asked.
+    async fn inquire(&self, id: &Name, wish: Wish, spec: Option<Arc<Spec>>) -> Word {
+        let (mut q, began, mut told_by) = (Inquiry::new(id.clone(), wish), Instant::now(), None);
         loop {
             let told = self.told.listen();
             let now = Instant::now();
-            {
-                let mut guard = self.lock();
-                let i = &mut *guard;
-                if i.told_since.is_none() {
-                    return true;
-                }
-                // whoever renews unknowing counts on it that nobody tells who may
-                // not have seen that all do so
-                if !may_lead(self.whole(i), &self.policy, now) {
-                    return false;
+            match (self.next(id, &mut q, now), &spec) {
+                (Step::Say(word), _) => return word,
+                (Step::LookUp, _) => q.looked_up(self.look(id).await),
+                (Step::Confirm, _) => q.confirmed(self.end_of(id).await),
+                (Step::Cancel, _) => q.ended(self.cancel(id).await.ok()),
+                (Step::Read(ids), _) => q.read(began.elapsed() < QUERY_LIMIT && self.read_ends(ids).await),
+                (Step::Judge, Some(spec)) => q.judged(self.judge(spec).await),
+                (Step::Store { doomed }, Some(spec)) => {
+                    let outcome = self.stored(spec.clone(), doomed).await;
+                    q.stored(outcome, &mut self.lock().ledger);
                 }
-                if i.clear_of(id, now) {
-                    i.telling.clear(id);
-                }
-                if i.telling.may_tell(id, &i.withdrawals, &self.policy, now) {
-                    return true;
+                (Step::Judge | Step::Store { .. }, None) => return Word::Never,
+                (Step::Tell, _) => {
+                    self.to_tell.notify(usize::MAX);
+                    let limit = *told_by.get_or_insert(now + TELL_LIMIT);
+                    let Some(left) = limit.checked_duration_since(now) else {
+                        return Word::Later("not every controller knows of it yet");
+                    };
+                    timed(left.min(self.policy.renew / 4), told).await;
                 }
             }
-            self.to_tell.notify(usize::MAX);
-            let Some(left) = limit.checked_duration_since(now) else { return false };
-            timed(left.min(self.policy.renew / 4), told).await;
         }
     }
 
-    /// Whether a job without an end may be called unfinished: what it needs, as far
-    /// as a user can have been told for long, is not cancelled.
-    async fn may_call_open(&self, id: &Name) -> bool {
-        let young = |i: &Inner| may_lead(self.whole(i), &self.policy, Instant::now());
-        let unknown = {
-            let mut i = self.lock();
-            match i.ledger.standing(id) {
-                Standing::Open(o) if o.spec.needs.is_empty() => return true,
-                // what nothing is known of was accepted a moment ago, or the watch
-                // is behind
-                Standing::Unknown => return young(&i),
-                _ => {}
+    /// The next step of a request, by what is known now.
+    fn next(&self, id: &Name, q: &mut Inquiry, now: Instant) -> Step {
+        let mut guard = self.lock();
+        let i = &mut *guard;
+        let (whole, clear) = (self.whole(i), i.clear_of(id, now));
+        q.next(&mut View {
+            ledger: &mut i.ledger,
+            withdrawals: &i.withdrawals,
+            telling: &mut i.telling,
+            whole,
+            all_tell: i.told_since.is_some(),
+            clear,
+            policy: &self.policy,
+            now,
+        })
+    }
+
+    /// The answer to a user.
+    fn say(&self, id: &Name, word: Word) -> Response {
+        match word {
+            Word::Accepted => {
+                Response::new(201, &JobState { id: id.clone(), stage: "pending".into(), done: 0, running: 0 })
             }
-            match i.ledger.spoilt(id) {
-                Spoilt::Yes => return false,
-                Spoilt::No => return young(&i),
-                Spoilt::Unknown(ids) => ids,
-            }
-        };
-        // they ended before this controller began; what is read is kept
-        let reads = unknown.into_iter().take(MOST_READ).map(|n: Name| async move {
-            let path = format!("{}{n}", key::FATE);
-            self.read_fate(&path).await.is_some()
-        });
-        let read = futures_util::stream::iter(reads).buffer_unordered(8).collect::<Vec<_>>();
-        if !timed(QUERY_LIMIT, read).await.is_some_and(|ends| ends.into_iter().all(|known| known)) {
-            return false;
+            Word::Unfinished => Response::new(200, &self.state(id, None)),
+            Word::Over(fate) => Response::new(200, &self.state(id, Some(fate))),
+            Word::Never => Response::refuse(404, "no such job"),
+            Word::Impossible(why) => Response::refuse(422, why),
+            Word::Later(why) => Response::refuse(503, why),
         }
-        let i = self.lock();
-        young(&i) && i.ledger.spoilt(id) != Spoilt::Yes
     }
 
-    async fn withdraw(&self, id: &str) -> Response {
+    async fn query(&self, id: &str, why: bool) -> Response {
         if !valid_id(id) {
             return Response::refuse(404, "no such job");
         }
-        let cancel = async {
-            let fate = self.cancel(id).await?;
-            match fate {
-                Some(Fate::Cancelled) if !self.may_tell(&id.into()).await => Err(Error::Refused(503)),
-                fate => Ok(fate),
-            }
-        };
-        match timed(SUBMIT_LIMIT, cancel).await {
-            Some(Ok(Some(fate))) => Response::new(200, &self.state(&id.into(), Some(fate))),
-            Some(Ok(None)) => Response::refuse(404, "no such job"),
-            Some(Err(_)) | None => Response::refuse(503, "the state service does not answer"),
+        let id: Name = id.into();
+        match self.inquire(&id, Wish::Query, None).await {
+            Word::Unfinished if why => Response::new(200, &self.explained(self.state(&id, None))),
+            Word::Over(fate) if why => Response::new(200, &self.explained(self.state(&id, Some(fate)))),
+            word => self.say(&id, word),
         }
     }
 
-    async fn cancel(&self, id: &str) -> Result<Option<Fate>, Error> {
-        match self.find(id).await {
-            Some(Found::Never) => return Ok(None),
-            Some(Found::Over(fate)) => return Ok(Some(fate)),
-            Some(Found::Open | Found::Confirmed) => {}
-            None => return Err(Error::Refused(503)),
+    async fn withdraw(&self, id: &str) -> Response {
+        if !valid_id(id) {
+            return Response::refuse(404, "no such job");
         }
+        let id: Name = id.into();
+        let word = timed(SUBMIT_LIMIT, self.inquire(&id, Wish::Withdraw, None)).await;
+        self.say(&id, word.unwrap_or(Word::Later("the state service does not answer")))
+    }
+
+    /// Reads the ends of some of these, which came before this controller began: what is
+    /// read is kept.  Whether all of them have one.
+    async fn read_ends(&self, ids: Vec<Name>) -> bool {
+        let reads = ids.into_iter().take(MOST_READ).map(|n: Name| async move {
+            let path = format!("{}{n}", key::FATE);
+            self.read_fate(&path).await.is_some()
+        });
+        let read = futures_util::stream::iter(reads).buffer_unordered(8).collect::<Vec<_>>();
+        timed(QUERY_LIMIT, read).await.is_some_and(|ends| ends.into_iter().all(|known| known))
+    }
+
+    /// Stores the cancellation of a job; what became of it.
+    async fn cancel(&self, id: &str) -> Result<Fate, Error> {
         // with it as many of those that need it as fit; the leader has the rest
         let mut ends = vec![Name::from(id)];
         ends.extend(self.lock().ledger.after(id, self.store.most.writes.saturating_sub(1)));
         let path = format!("{}{id}", key::FATE);
         loop {
-            let mut txn = Txn::default();
-            for id in &ends {
-                let path = format!("{}{id}", key::FATE);
-                txn.guard(path.clone(), 0);
-                txn.writes.push(Write::set(path, &FateRecord { fate: Fate::Cancelled }));
-            }
+            let txn = cancellations(&ends);
             match self.store.txn(&txn).await? {
                 Outcome::Done(stamp) => {
                     let now = Instant::now();
                     ends.iter().for_each(|id| self.learn_fate(id, Fate::Cancelled, stamp, now));
-                    return Ok(Some(Fate::Cancelled));
+                    return Ok(Fate::Cancelled);
                 }
                 // one of the others has ended by itself: this one alone then
                 Outcome::Conflict(keys) if ends.len() > 1 && !keys.contains(&path) => ends.truncate(1),
                 // whoever loses the race says what the store says
-                Outcome::Conflict(_) => return self.read_fate(&path).await.map(Some).ok_or(Error::Refused(503)),
+                Outcome::Conflict(_) => return self.read_fate(&path).await.ok_or(Error::Refused(503)),
             }
         }
     }
--- a/src/queues.rs
+++ b/src/queues.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
+use coralnotch_core::answers::Accepted;
 use coralnotch_core::lookup::Found;
 
 use crate::model::*;
@@ -11,14 +12,6 @@
 pub(crate) type Reply<T> = smol::channel::Sender<T>;
 pub(crate) type Queue<T> = (smol::channel::Sender<T>, smol::channel::Receiver<T>);
 
-/// What the store said of a submission.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) enum Accepted {
-    New,
-    Before,
-    Unknown,
-}
-
 /// Users' requests on their way to the store, gathered into transactions.
 pub struct Intake {
     /// Submissions, and whether each ends with a cancelled job that it needs.
--- a/tests/architecture.rs
+++ b/tests/architecture.rs
@@ -36,6 +36,7 @@
     "cluster",
     "ledger",
     "lookup",
+    "answers",
     "placement",
     "workers",
     "fleet",
