--- a/tools/days.py
+++ b/tools/days.py
@@ -6,6 +6,7 @@
 
     days.py SITE OUT [--size F] [--restart-delay S] [--seed N] [--duration S]
                      [--run CLASS:F]... [--cancelled CLASS:SHARE]... [--day NAME]
+                     [--rate CLASS:F]... [--tasks CLASS:N]... [--limits F]
                      [--crash AT:COUNT[:EVERY:TIMES]]... [--cut AT:FOR]...
                      [--fault KIND,KEY=VALUE,...]... [--pairs [--only-pairs]]
                      [--meet NAME,NAME,...]...
@@ -13,7 +14,8 @@
 --size scales machines, capacity, traffic, guarantees, limits of teams and the
 number of machines in each trouble.  --run multiplies how long the tasks of a class
 run (of all, with the class `*`); --cancelled sets the share of its jobs that users
-withdraw.  --crash adds TIMES crashes of COUNT controllers, the busiest first, from
+withdraw; --rate multiplies how often they come, --tasks gives each so many tasks,
+--limits multiplies the teams' limits and guarantees.  --crash adds TIMES crashes of COUNT controllers, the busiest first, from
 second AT on, EVERY seconds apart; --cut cuts the busiest controller off for so
 long, and what it sent arrives at the end; --fault adds any trouble that the bench
 knows, for example node_cut,at_s=120,count=1,busiest=true,from_state=true,for_s=4,
@@ -278,8 +280,9 @@
     p.add_argument("--restart-delay", type=float)
     p.add_argument("--seed", type=int)
     p.add_argument("--duration", type=float)
-    for many in ("--run", "--cancelled", "--crash", "--cut", "--fault"):
+    for many in ("--run", "--cancelled", "--rate", "--tasks", "--crash", "--cut", "--fault"):
         p.add_argument(many, action="append", default=[])
+    p.add_argument("--limits", type=float, default=1.0)
     p.add_argument("--day")
     p.add_argument("--pairs", action="store_true")
     p.add_argument("--only-pairs", action="store_true")
@@ -291,7 +294,14 @@
         fail(f"--restart-delay {a.restart_delay}: 0 to 3600 seconds")
     if a.duration is not None and not 0 < a.duration <= 36000:
         fail(f"--duration {a.duration}: above 0, at most 36000 seconds")
+    if not 0 < a.limits <= 100:
+        fail(f"--limits {a.limits}: above 0, at most 100")
     run = [shares(x, "--run") for x in a.run]
+    rate = [shares(x, "--rate") for x in a.rate]
+    tasks = [shares(x, "--tasks") for x in a.tasks]
+    for x, (_, n) in zip(a.tasks, tasks):
+        if n < 1 or n != int(n):
+            fail(f"--tasks {x}: a whole number of 1 or more")
     cancelled = [shares(x, "--cancelled") for x in a.cancelled]
     added = [trouble(x) for x in a.fault]
     for crash in a.crash:
@@ -315,7 +325,7 @@
     if "nodes" not in site or "day" not in site:
         fail(f"{a.site}: not a site file: no [nodes] or no [[day]]")
     classes = [work.get("name") for work in site.get("jobs", [])]
-    for name, _ in run + cancelled:
+    for name, _ in run + cancelled + rate + tasks:
         if name not in [*classes, "*"]:
             fail(f"{name}: no class of {a.site.name}; it has {' '.join(classes)}")
     zones = site.get("nodes", {}).get("zones", [])
@@ -330,6 +340,10 @@
     ]
     settled()
     scale(site, a.size)
+    for team in site.get("teams", []):
+        for k in ("cpus", "cpus_max", "gpus", "gpus_max"):
+            if k in team:
+                team[k] *= a.limits
     if a.restart_delay is not None:
         site["nodes"]["restart_delay_s"] = a.restart_delay
     if a.duration is not None:
@@ -338,6 +352,12 @@
         for name, by in run:
             if name in (work["name"], "*"):
                 work["run_s"] = {k: v * by for k, v in work["run_s"].items()}
+        for name, by in rate:
+            if name in (work["name"], "*") and "rate" in work.get("arrivals", {}):
+                work["arrivals"]["rate"] *= by
+        for name, n in tasks:
+            if name in (work["name"], "*"):
+                work["tasks"] = {"sizes": [int(n)], "weights": [1.0]}
         for name, part in cancelled:
             if name in (work["name"], "*"):
                 work["cancelled"] = part
