Seeded world of answers: users at all controllers at once, each request at its own pace

Drives what core decides of users' requests through lost answers, late writes, outages, crashes and evictions; the checker of histories says that no answer is older than one that was had before it was asked. Seen to fail with each of ten parts left out.

--- a/packages/core/src/lookup.rs
+++ b/packages/core/src/lookup.rs
@@ -22,7 +22,7 @@
 /// Ids that are looked up together: each is guarded on having neither a record
 /// nor an end.  What a conflict names exists; the rest is asked again, for
 /// nothing says that a conflict names every key.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Lookup {
     /// Ids, whether they have a record, and whether they have an end.
     ids: Vec<(Name, bool, bool)>,
--- a/packages/core/src/sim/history.rs
+++ b/packages/core/src/sim/history.rs
@@ -1,13 +1,17 @@
-//! Three controllers that keep little of a long history, and users who ask
-//! about all of it: the rules of answers, through eviction, reads of many
-//! pages, watches that are too old, crashes and outages of the state service.
-//! What a controller decides is the program's own; only the I/O is played.
+//! Three controllers that keep little of a long history, and users at all of them at once
+//! who ask about all of it, submit and cancel, each request at its own pace: the rules of
+//! answers, through eviction, reads of many pages, watches that are too old, crashes,
+//! outages of the state service, writes whose answer is lost and writes that come late.
+//! What a controller decides and says is the program's own; only the I/O is played.
 
 use std::collections::{HashSet, VecDeque};
 
 use super::*;
+use crate::answers::{cancellations, submissions, Accepted, Inquiry, Step, Verdict, View, Wish, Word};
+use crate::knowledge::{Telling, Withdrawals};
 use crate::ledger::{Ended, Ledger, Standing, Sweep};
 use crate::lookup::{Found, Lookup};
+use coralnotch_wire::history::{older, Answer, Said};
 use coralnotch_wire::state::Event;
 
 /// What is left out on purpose, to see that it is noticed.
@@ -26,6 +30,15 @@
     Unconfirmed,
     /// In an outage, nothing found is nothing there.
     OutageForgets,
+    /// What the store said to an earlier question is good for the next one.
+    StaleLookUp,
+    /// A submission without an answer was carried out.
+    DoubtIsAccepted,
+    /// A cancellation without an answer was carried out.
+    DoubtIsCancelled,
+    /// Each request believes its own idea of whether its job ends with what it needs,
+    /// whatever was stored.
+    OwnIdeaOfEnds,
 }
 
 /// Changes that the service keeps.
@@ -74,60 +87,142 @@
 /// One controller's knowledge of jobs.
 struct Desk {
     ledger: Ledger,
+    withdrawals: Withdrawals,
+    telling: Telling,
     sweep: Option<Sweep>,
     /// Watched up to here; `None` before a sweep has begun.
     since: Option<u64>,
     synced: bool,
+    /// Submissions that wait to be stored: requests, and whether they end at once.
+    queue: Vec<(u64, Arc<Spec>, bool)>,
     /// Own transactions that were carried out, and whose answers are not read yet.
     unread: Vec<(Arc<Spec>, u64)>,
     /// A page that was read and is not taken in yet.
     held: Option<(&'static str, Vec<Item>, bool)>,
+    /// What it has looked up; for a fault.
+    old: HashMap<Name, Found>,
 }
 
 impl Desk {
-    fn new() -> Desk {
-        let ledger = Ledger::new(MOST_ENDED);
-        Desk { ledger, sweep: None, since: None, synced: false, unread: Vec::new(), held: None }
+    fn new(life: u64) -> Desk {
+        Desk {
+            ledger: Ledger::new(MOST_ENDED),
+            withdrawals: Withdrawals::new(life, 50),
+            telling: Telling::new(2, 50),
+            sweep: None,
+            since: None,
+            synced: false,
+            queue: Vec::new(),
+            unread: Vec::new(),
+            held: None,
+            old: HashMap::new(),
+        }
     }
+
+    /// Learns of an end, however.
+    fn ends(&mut self, id: &str, fate: Fate, stamp: u64, now: Instant) {
+        if fate == Fate::Cancelled {
+            self.withdrawals.add(stamp, id, now);
+        }
+        self.ledger.ends(id, fate);
+    }
+}
+
+/// Where a request is.
+#[derive(Debug, Clone)]
+enum At {
+    /// At its controller, which looks what to do.
+    Desk,
+    /// On its way to the store, with a look-up.
+    LookUp(Lookup),
+    /// On its way to the store, to confirm that there is no end.
+    Confirm,
+    /// On its way to the store, with a cancellation.
+    Cancel,
+    /// In its controller's queue.
+    Queue,
+    /// On its way back, with what the store said.
+    Found(Option<Found>),
+    Confirmed(Option<Option<Fate>>),
+    Stored(Accepted),
+    Ended(Option<Fate>),
+    /// On its way to the user.
+    Said(Word),
 }
 
-/// What a user was told last, the older the smaller.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Told {
-    Accepted,
-    Over,
+struct Asked {
+    id: Name,
+    wish: Wish,
+    desk: usize,
+    /// When it left the user.
+    sent: u64,
+    /// Looks that it may still take until the siblings know.
+    patience: u32,
+    looked: bool,
+    q: Inquiry,
+    at: At,
 }
 
 struct History {
     rng: fastrand::Rng,
+    t0: Instant,
+    now: u64,
+    policy: Policy,
     service: Service,
     desks: Vec<Desk>,
+    lives: u64,
+    asked: BTreeMap<u64, Asked>,
+    serial: u64,
+    /// Transactions that got no answer and come later.
+    late: Vec<Txn>,
     outage: bool,
     fault: Fault,
-    submitted: HashSet<Name>,
-    told: HashMap<Name, (Told, Option<Fate>)>,
+    /// When each was submitted first.
+    submitted: HashMap<Name, u64>,
+    answers: Vec<Answer<u64>>,
     broken: Vec<String>,
-    /// Answers from memory, by look-up, after a restart of a sweep.
-    seen: [u32; 3],
+    /// Answers from memory, by look-up, after a restart of a sweep; lost answers of
+    /// submissions and cancellations; those that came late.
+    seen: [u32; 5],
+}
+
+/// Ids that can never run.
+fn never_runs(id: &str) -> bool {
+    id.ends_with("77")
 }
 
 impl History {
     fn new(seed: u64, fault: Fault) -> History {
+        let config = Config::parse("sim", SETTINGS).expect("settings of the simulation");
         History {
             rng: fastrand::Rng::with_seed(seed),
+            t0: Instant::now(),
+            now: 0,
+            policy: Policy::new(&config).expect("the default policy"),
             service: Service::default(),
-            desks: (0..3).map(|_| Desk::new()).collect(),
+            desks: (0..3).map(Desk::new).collect(),
+            lives: 3,
+            asked: BTreeMap::new(),
+            serial: 0,
+            late: Vec::new(),
             outage: false,
             fault,
-            submitted: HashSet::new(),
-            told: HashMap::new(),
+            submitted: HashMap::new(),
+            answers: Vec::new(),
             broken: Vec::new(),
-            seen: [0; 3],
+            seen: [0; 5],
         }
     }
 
+    /// An id, mostly of those that are in use now.
     fn id(&mut self) -> Name {
-        format!("j-{}", self.rng.u32(0..120)).into()
+        let oldest = self.now / 12;
+        let n = if self.rng.u32(0..3) == 0 { self.rng.u64(0..oldest + 40) } else { oldest + self.rng.u64(0..40) };
+        format!("j-{n}").into()
+    }
+
+    fn at(&self) -> Instant {
+        self.t0 + Duration::from_millis(self.now * 20)
     }
 
     /// Brings a controller's knowledge forward by one step.
@@ -135,11 +230,13 @@
         if self.outage {
             return;
         }
-        let most = self.rng.usize(1..6);
+        // a read takes some thirty pages, however much there is
+        let (most, now) = (self.rng.usize(1..6) + self.service.store.kv.len() / 60, self.at());
         let desk = &mut self.desks[d];
         if desk.sweep.is_none() && !desk.synced {
             let epoch = self.service.store.epoch;
             desk.ledger.begins(epoch);
+            desk.withdrawals.begins(epoch, now);
             (desk.since, desk.sweep) = (Some(epoch), Some(Sweep::new(HashSet::new())));
         }
         if let Some(s) = desk.sweep.as_mut() {
@@ -163,6 +260,7 @@
     }
 
     fn watch(&mut self, d: usize) {
+        let now = self.at();
         let desk = &mut self.desks[d];
         let Some(since) = desk.since.filter(|_| !self.outage) else { return };
         if self.fault == Fault::LateWatch && desk.sweep.is_some() {
@@ -174,14 +272,17 @@
             (desk.sweep, desk.held, desk.synced, desk.since) = (None, None, false, None);
             return;
         }
-        for (_, e) in self.service.changes.iter().filter(|(s, _)| *s > since) {
+        let mut news: Vec<&Event> = self.service.changes.iter().filter(|c| c.0 > since).map(|c| &c.1).collect();
+        // a job and its end may be of one transaction
+        news.sort_by_key(|e| (e.stamp, e.set.as_ref().is_some_and(|p| p.starts_with(key::FATE))));
+        for e in news {
             let (Some(path), Some(data)) = (e.set.as_deref(), e.data.clone()) else { continue };
             if let Some(id) = path.strip_prefix(key::FATE) {
                 if let (Some(s), true) = (desk.sweep.as_mut(), self.fault != Fault::BlindSweep) {
                     s.ended([id.into()].into_iter());
                 }
                 let f = read_value::<FateRecord>(path, data).expect("our own record");
-                desk.ledger.ends(id, f.fate);
+                desk.ends(id, f.fate, e.stamp, now);
             } else if path.starts_with(key::JOB) {
                 let spec = read_value::<Spec>(path, data).expect("our own record");
                 desk.ledger.seen(Arc::new(spec), e.stamp);
@@ -203,152 +304,358 @@
         }
     }
 
-    fn submit(&mut self, d: usize) {
-        let id = self.id();
-        let known = self.desks[d].ledger.standing(&id) != Standing::Unknown;
-        if self.outage || !self.desks[d].synced && !known {
-            return;
-        }
-        self.submitted.insert(id.clone());
-        if known {
-            return self.ask(d, &id);
-        }
-        let spec = spec(&id, 1);
-        let mut txn = Txn::default();
-        let path = format!("{}{id}", key::JOB);
-        txn.guard(path.clone(), 0);
-        txn.writes.push(Write::set(path, &*spec));
-        match self.service.apply(&txn) {
-            Ok(stamp) => {
-                self.desks[d].unread.push((spec, stamp));
-                self.tell(&id, Told::Accepted, None);
-            }
-            Err(_) => self.answer(d, &id, Some(Found::Open)),
+    /// A user sends a request.
+    fn sends(&mut self, desk: usize, id: Name, wish: Wish) {
+        if wish == Wish::Submit {
+            self.submitted.entry(id.clone()).or_insert(self.now);
         }
+        self.serial += 1;
+        let q = Inquiry::new(id.clone(), wish);
+        let patience = self.rng.u32(1..10);
+        let asked = Asked { id, wish, desk, sent: self.now, patience, looked: false, q, at: At::Desk };
+        self.asked.insert(self.serial, asked);
     }
 
+    /// A leader ends a job whose tasks are done.
     fn end(&mut self, d: usize) {
-        let id = self.id();
+        let (id, now) = (self.id(), self.at());
         let path = format!("{}{id}", key::FATE);
         if self.outage || self.service.job(&id).is_none() || self.service.store.fate(&id).is_some() {
             return;
         }
-        let fate = if self.rng.bool() { Fate::Done } else { Fate::Cancelled };
         let mut txn = Txn::default();
         txn.guard(path.clone(), 0);
-        txn.writes.push(Write::set(path, &FateRecord { fate }));
-        self.service.apply(&txn).expect("it has no end");
+        txn.writes.push(Write::set(path, &FateRecord { fate: Fate::Done }));
+        let stamp = self.service.apply(&txn).expect("it has no end");
         // whoever wrote it knows at once, or by the watch alone
         if self.rng.bool() {
-            self.desks[d].ledger.ends(&id, fate);
+            self.desks[d].ends(&id, Fate::Done, stamp, now);
         }
     }
 
-    fn tell(&mut self, id: &Name, told: Told, fate: Option<Fate>) {
-        let before = self.told.get(id).copied();
-        if before.is_some_and(|b| b.0 > told || b.1.is_some_and(|f| fate != Some(f))) {
-            self.broken.push(format!("went_back: {id} was {before:?}, now {told:?} {fate:?}"));
+    /// A controller stores what waits in its queue, in one transaction.
+    fn stores(&mut self, d: usize) {
+        if self.desks[d].queue.is_empty() {
+            return;
         }
-        if fate.is_some() && self.service.store.fate(id) != fate {
-            self.broken.push(format!("not_done: {id} is called {fate:?}"));
+        let (batch, now) = (std::mem::take(&mut self.desks[d].queue), self.at());
+        let txn = submissions(batch.iter().map(|(_, spec, doomed)| (&**spec, *doomed)));
+        // refused in an outage; its answer may be lost, or it may come much later
+        let (refused, luck) = (self.outage, self.rng.u32(0..12));
+        let outcome = match luck {
+            _ if refused => None,
+            0 => {
+                self.late.push(txn.clone());
+                self.seen[4] += 1;
+                None
+            }
+            _ => Some(self.service.apply(&txn)),
+        };
+        self.seen[3] += u32::from(luck == 1 && outcome.is_some());
+        let mut back = Vec::new();
+        match outcome.filter(|_| luck != 1) {
+            None => {
+                let word = match self.fault {
+                    Fault::DoubtIsAccepted => Accepted::New { slow: false },
+                    _ => Accepted::Unknown,
+                };
+                back.extend(batch.iter().map(|b| (b.0, word)));
+            }
+            Some(Ok(stamp)) => {
+                for (n, spec, doomed) in batch {
+                    let end = format!("{}{}", key::FATE, spec.id);
+                    let ends = txn.writes.iter().any(|w| matches!(w, Write::Set { set, .. } if *set == end));
+                    self.desks[d].unread.push((spec.clone(), stamp));
+                    if ends || doomed && self.fault == Fault::OwnIdeaOfEnds {
+                        self.read_answers(d);
+                        self.desks[d].ends(&spec.id, Fate::Cancelled, stamp, now);
+                    }
+                    let slow = self.rng.u32(0..4) == 0;
+                    back.push((n, Accepted::New { slow }));
+                }
+            }
+            Some(Err(keys)) => {
+                for b in batch {
+                    match keys.contains(&format!("{}{}", key::JOB, b.1.id)) {
+                        true => back.push((b.0, Accepted::Before)),
+                        false => self.desks[d].queue.push(b),
+                    }
+                }
+            }
+        }
+        for (n, word) in back {
+            if let Some(a) = self.asked.get_mut(&n) {
+                a.at = At::Stored(word);
+            }
         }
-        self.told.insert(id.clone(), (told, fate));
     }
 
-    /// A user asks a controller about a job.
-    fn ask(&mut self, d: usize, id: &Name) {
-        let found = match self.desks[d].ledger.standing(id) {
-            Standing::Open(_) => Some(Found::Open),
-            Standing::Ended(e) => {
-                self.seen[0] += 1;
-                Some(Found::Over(e.fate))
-            }
-            Standing::Unknown if self.fault == Fault::EvictionForgets => Some(Found::Never),
-            Standing::Unknown if self.outage => (self.fault == Fault::OutageForgets).then_some(Found::Never),
-            Standing::Unknown => self.look_up(d, id),
-        };
-        self.answer(d, id, found);
+    /// A transaction that got no answer is carried out after all.
+    fn comes_late(&mut self) {
+        if !self.late.is_empty() && !self.outage {
+            let n = self.rng.usize(0..self.late.len());
+            let txn = self.late.swap_remove(n);
+            let _ = self.service.apply(&txn);
+        }
+    }
+
+    /// A controller tells the others of withdrawals whose users wait.
+    fn tells(&mut self, d: usize) {
+        let (now, n) = (self.at(), self.rng.usize(0..2));
+        let other = (d + 1 + n) % 3;
+        let desk = &mut self.desks[d];
+        let (told, _) = desk.telling.for_sibling(n, &desk.withdrawals, &self.policy, now);
+        for w in &told {
+            self.desks[other].ends(&w.id, Fate::Cancelled, w.stamp, now);
+        }
+        self.desks[d].telling.taken(n, &told);
     }
 
-    /// The look-up of an id, as the store answers it: a conflict may name any
-    /// of the keys that are in its way.
-    fn look_up(&mut self, d: usize, id: &Name) -> Option<Found> {
-        self.seen[1] += 1;
-        let other = self.id();
-        let mut l = Lookup::new([id, &other].into_iter());
-        while let Some(txn) = l.txn() {
-            match self.service.store.apply(&txn) {
-                Ok(_) => l.as_guarded(),
-                Err(mut keys) => {
-                    self.rng.shuffle(&mut keys);
-                    keys.truncate(self.rng.usize(1..4));
-                    assert!(l.conflict(&keys), "a look-up goes round in circles");
+    /// A request gets one step further.
+    fn goes_on(&mut self) {
+        if self.asked.is_empty() {
+            return;
+        }
+        // the oldest first, now and then any
+        let at = self.rng.usize(0..self.asked.len().min(12));
+        let Some(n) = self.asked.keys().nth(at).copied() else { return };
+        let Some(mut a) = self.asked.remove(&n) else { return };
+        let lost = self.rng.u32(0..20) == 0;
+        match a.at.clone() {
+            At::Queue => {}
+            At::Desk => a.at = self.looks(n, &mut a),
+            At::LookUp(mut l) => match (l.txn(), self.outage) {
+                (Some(_), true) => {
+                    let never = self.fault == Fault::OutageForgets;
+                    a.at = At::Found(never.then_some(Found::Never));
+                }
+                (Some(txn), false) => {
+                    match self.service.apply(&txn) {
+                        Ok(_) => l.as_guarded(),
+                        Err(mut keys) => {
+                            // a conflict may name any of the keys that are in its way
+                            self.rng.shuffle(&mut keys);
+                            keys.truncate(self.rng.usize(1..4));
+                            assert!(l.conflict(&keys), "a look-up goes round in circles");
+                        }
+                    }
+                    a.at = At::LookUp(l);
+                }
+                (None, _) => {
+                    self.seen[1] += 1;
+                    let found = match l.ended().contains(&a.id) {
+                        false => l.found(&a.id),
+                        true => {
+                            let item = self.service.job(&a.id).expect("what has an end has a record");
+                            let fate = self.service.store.fate(&a.id).expect("it has an end");
+                            let spec = Arc::new(read_value::<Spec>(&item.path, item.data).expect("our own record"));
+                            let (now, stamp) = (self.at(), item.stamp);
+                            self.desks[a.desk].ledger.remember(Ended { spec, stamp, fate });
+                            if fate == Fate::Cancelled {
+                                self.desks[a.desk].withdrawals.add(stamp, &a.id, now);
+                            }
+                            Some(Found::Over(fate))
+                        }
+                    };
+                    if let Some(f) = &found {
+                        self.desks[a.desk].old.insert(a.id.clone(), f.clone());
+                    }
+                    a.at = At::Found(found.filter(|_| !lost));
+                }
+            },
+            At::Confirm => {
+                let end = self.service.store.fate(&a.id);
+                a.at = At::Confirmed((!self.outage && !lost).then_some(end));
+            }
+            At::Cancel => a.at = At::Ended(self.cancels(&a, lost)),
+            At::Found(found) => {
+                a.q.looked_up(found);
+                a.at = At::Desk;
+            }
+            At::Confirmed(end) => {
+                a.q.confirmed(end);
+                a.at = At::Desk;
+            }
+            At::Stored(word) => {
+                if self.rng.bool() {
+                    self.read_answers(a.desk);
                 }
+                a.q.stored(word, &mut self.desks[a.desk].ledger);
+                a.at = At::Desk;
             }
-            // a job may end between the questions
-            if self.rng.u32(0..4) == 0 {
-                self.end(d);
+            At::Ended(fate) => {
+                a.q.ended(fate);
+                a.at = At::Desk;
             }
+            At::Said(word) => return self.hears(&a, word),
+        }
+        self.asked.insert(n, a);
+    }
+
+    /// The store gets a cancellation.
+    fn cancels(&mut self, a: &Asked, lost: bool) -> Option<Fate> {
+        if self.outage {
+            return None;
         }
-        if l.ended().contains(id) {
-            let item = self.service.job(id).expect("what has an end has a record");
-            let fate = self.service.store.fate(id).expect("it has an end");
-            let spec = Arc::new(read_value::<Spec>(&item.path, item.data).expect("our own record"));
-            self.desks[d].ledger.remember(Ended { spec, stamp: item.stamp, fate });
-            return Some(Found::Over(fate));
+        let (txn, now) = (cancellations(std::slice::from_ref(&a.id)), self.at());
+        if lost && self.rng.bool() {
+            self.late.push(txn);
+            self.seen[4] += 1;
+            return (self.fault == Fault::DoubtIsCancelled).then_some(Fate::Cancelled);
         }
-        l.found(id)
+        let outcome = self.service.apply(&txn);
+        if lost {
+            self.seen[3] += 1;
+            return (self.fault == Fault::DoubtIsCancelled).then_some(Fate::Cancelled);
+        }
+        let fate = self.service.store.fate(&a.id).expect("it has one now");
+        let stamp = outcome.unwrap_or(self.service.store.stamp(&format!("{}{}", key::FATE, a.id)));
+        self.desks[a.desk].ends(&a.id, fate, stamp, now);
+        Some(fate)
     }
 
-    fn answer(&mut self, _: usize, id: &Name, found: Option<Found>) {
-        match found {
-            None => {} // refused for now
-            Some(Found::Never) if !self.told.contains_key(id) => {}
-            Some(Found::Never) => self.broken.push(format!("forgotten: {id}")),
-            Some(found) => {
-                if !self.submitted.contains(id) {
-                    self.broken.push(format!("invented: {id}"));
+    /// A controller looks what to do for a request.
+    fn looks(&mut self, n: u64, a: &mut Asked) -> At {
+        let (now, fault) = (self.at(), self.fault);
+        let first = !std::mem::replace(&mut a.looked, true);
+        let desk = &mut self.desks[a.desk];
+        let memory = first && matches!(desk.ledger.standing(&a.id), Standing::Ended(_));
+        self.seen[0] += u32::from(memory);
+        let whole = desk.synced.then_some(now);
+        let step = a.q.next(&mut View {
+            ledger: &mut desk.ledger,
+            withdrawals: &desk.withdrawals,
+            telling: &mut desk.telling,
+            whole,
+            all_tell: true,
+            clear: false,
+            policy: &self.policy,
+            now,
+        });
+        match step {
+            Step::Say(word) => At::Said(word),
+            Step::LookUp if fault == Fault::EvictionForgets => At::Found(Some(Found::Never)),
+            Step::LookUp if fault == Fault::StaleLookUp && desk.old.contains_key(&a.id) => {
+                At::Found(desk.old.get(&a.id).cloned())
+            }
+            Step::LookUp => {
+                let other = self.id();
+                At::LookUp(Lookup::new([&a.id, &other].into_iter()))
+            }
+            Step::Confirm if fault == Fault::Unconfirmed => At::Confirmed(Some(None)),
+            Step::Confirm => At::Confirm,
+            Step::Cancel => At::Cancel,
+            Step::Judge => {
+                // one in four of some is judged after the end of what it needs is known
+                let doomed = a.id.ends_with('5') && self.rng.u32(0..4) == 0;
+                a.q.judged(match (desk.synced, never_runs(&a.id)) {
+                    (false, _) => Verdict::Later("not ready"),
+                    (_, true) => Verdict::Impossible("unknown team"),
+                    _ => Verdict::Fine { doomed },
+                });
+                At::Desk
+            }
+            Step::Store { doomed } => {
+                desk.queue.push((n, spec(&a.id, 1), doomed));
+                At::Queue
+            }
+            Step::Tell => match a.patience {
+                0 => At::Said(Word::Later("not every controller knows of it yet")),
+                _ => {
+                    a.patience -= 1;
+                    self.tells(a.desk);
+                    At::Desk
                 }
-                let fate = match found {
-                    Found::Over(f) => Some(f),
-                    Found::Confirmed => None,
-                    _ if self.fault == Fault::Unconfirmed => None,
-                    _ if self.outage => return,
-                    _ => self.service.store.fate(id),
-                };
-                self.tell(id, if fate.is_some() { Told::Over } else { Told::Accepted }, fate);
+            },
+            Step::Read(ids) => panic!("{ids:?} are needed by nobody"),
+        }
+    }
+
+    /// A user has an answer.
+    fn hears(&mut self, a: &Asked, word: Word) {
+        let said = match word {
+            Word::Later(_) => return,
+            Word::Accepted | Word::Unfinished => Said::Unfinished,
+            Word::Over(Fate::Done) => Said::Done,
+            Word::Over(Fate::Cancelled) => Said::Cancelled,
+            Word::Never if a.wish == Wish::Submit => {
+                self.broken.push(format!("{}: a submission is answered with 404", a.id));
+                Said::Never
             }
+            Word::Never | Word::Impossible(_) => Said::Never,
+        };
+        let stored = match self.service.store.fate(&a.id) {
+            _ if self.service.job(&a.id).is_none() => Said::Never,
+            None => Said::Unfinished,
+            Some(Fate::Done) => Said::Done,
+            Some(Fate::Cancelled) => Said::Cancelled,
+        };
+        if said > stored || said >= Said::Done && said != stored {
+            self.broken.push(format!("{} is called {said:?}, and {stored:?} by the store", a.id));
         }
+        self.answers.push(Answer { id: a.id.clone(), sent: a.sent, had: self.now, said });
+    }
+
+    /// A controller ends: whoever waits there hears nothing.
+    fn dies(&mut self, d: usize) {
+        self.lives += 1;
+        self.desks[d] = Desk::new(self.lives);
+        self.asked.retain(|_, a| a.desk != d);
     }
 
-    fn run(mut self, steps: u32) -> History {
-        for _ in 0..steps {
+    fn run(mut self, steps: u64) -> History {
+        for now in 1..=steps {
+            self.now = now;
             let d = self.rng.usize(0..3);
             match self.rng.u32(0..100) {
-                0..=29 => self.learn(d),
-                30..=44 => self.watch(d),
-                45..=52 => self.read_answers(d),
-                53..=64 => self.submit(d),
-                65..=74 => self.end(d),
-                75..=97 => {
+                0..=24 => self.learn(d),
+                25..=37 => self.watch(d),
+                38..=43 => self.read_answers(d),
+                44..=49 => self.stores(d),
+                50..=58 => {
+                    let id = self.id();
+                    self.sends(d, id, Wish::Submit);
+                }
+                59..=63 => self.end(d),
+                64..=67 => {
+                    let id = self.id();
+                    self.sends(d, id, Wish::Withdraw);
+                }
+                68..=73 => {
                     let id = self.id();
-                    self.ask(d, &id);
+                    self.sends(d, id, Wish::Query);
                 }
-                98 => self.outage = !self.outage,
+                // users look closely: at all controllers at once, and repeat
+                74..=77 => {
+                    let id = self.answers.last().map(|a| a.id.clone()).unwrap_or_else(|| "j-0".into());
+                    let repeat = if self.submitted.contains_key(&id) { Wish::Submit } else { Wish::Query };
+                    for wish in [Wish::Query, Wish::Query, repeat] {
+                        (0..3).for_each(|d| self.sends(d, id.clone(), wish));
+                    }
+                }
+                78..=95 => self.tells(d),
+                96 | 97 => self.comes_late(),
+                98 => self.outage = self.rng.u32(0..4) == 0,
                 _ => {
                     if self.rng.u32(0..4) == 0 {
-                        self.desks[d] = Desk::new();
+                        self.dies(d);
                     }
                 }
             }
-            if self.rng.u32(0..25) == 0 {
+            (0..4).for_each(|_| self.goes_on());
+            if self.rng.u32(0..100) == 0 {
                 // a wave: watches fall behind by more than the service keeps
                 for _ in 0..KEPT + 5 {
-                    self.submit(d);
+                    let id = self.id();
+                    if !self.outage && !never_runs(&id) {
+                        self.submitted.entry(id.clone()).or_insert(self.now);
+                        let _ = self.service.apply(&submissions([(&*spec(&id, 1), false)].into_iter()));
+                    }
                     self.end(d);
                 }
             }
         }
+        self.broken.extend(older(&self.answers, &self.submitted));
         // then all is calm: what each controller knows as unfinished is just
         // what the store has, and nothing stays for ever
         self.outage = false;
@@ -372,23 +679,36 @@
 
 #[test]
 fn answers_stay_final_though_ended_jobs_leave_memory() {
-    let mut seen = [0; 3];
+    let (mut seen, mut said) = ([0; 5], [0; 4]);
     for seed in 0..60 {
         let h = History::new(seed, Fault::None).run(3000);
         assert!(h.broken.is_empty(), "seed {seed}: {:?}", h.broken);
         for (all, one) in seen.iter_mut().zip(h.seen) {
             *all += one;
         }
+        h.answers.iter().for_each(|a| said[a.said as usize] += 1);
     }
-    // there was something to check: answers from memory, from the store, and
-    // watches that were too old in the middle of a read
+    // there was something to check: answers from memory, from the store, watches that
+    // were too old in the middle of a read, lost answers and late writes; and of each word
     assert!(seen.iter().all(|n| *n > 100), "{seen:?}");
+    assert!(said.iter().all(|n| *n > 500), "{said:?}");
 }
 
 #[test]
 fn the_checker_sees_what_answers_rest_on() {
     use Fault::*;
-    for fault in [EvictionForgets, LateAnswers, BlindSweep, LateWatch, Unconfirmed, OutageForgets] {
+    for fault in [
+        EvictionForgets,
+        LateAnswers,
+        BlindSweep,
+        LateWatch,
+        Unconfirmed,
+        OutageForgets,
+        StaleLookUp,
+        DoubtIsAccepted,
+        DoubtIsCancelled,
+        OwnIdeaOfEnds,
+    ] {
         let seen = (0..60).any(|seed| !History::new(seed, fault).run(3000).broken.is_empty());
         assert!(seen, "{fault:?} went unnoticed");
     }
