--- a/packages/core/src/placement/tests.rs
+++ b/packages/core/src/placement/tests.rs
@@ -101,3 +101,112 @@
     });
     assert!(passes.is_some() && !c.stir);
 }
+
+/// Every team is at its limit, a job is cancelled whose machines can't be reached, and the
+/// leader changes: what is on record of it counts until it is proved to be gone, though
+/// this leader never heard its machines, and nothing of its team starts in its place; then
+/// the room is used at once.
+#[test]
+fn places_of_a_cancelled_job_count_until_there_is_a_proof() {
+    use crate::cluster::{Page, Start, TeamLimit};
+    use crate::workers::Report;
+    let now = Instant::now();
+    let most = Size { cpus: 4.0, gpus: 0.0, memory: 0.0 };
+    let old: Name = "i-9".into();
+    let leader = || {
+        let mut c = cluster(5, now);
+        c.teams = std::collections::HashMap::from([("x".into(), TeamLimit { guarantee: Size::default(), most })]);
+        c.add_job(spec("j-1", 4), 1, Some(Fate::Cancelled), now);
+        let start =
+            |index| Start { machine: old.clone(), task: Task { job: "j-1".into(), index }, attempt: 7, session: 1 };
+        let page = Page { stamp: 1, starts: (0..4).map(start).collect(), done: vec![] };
+        let at = std::collections::HashMap::from([(old.clone(), ("t".into(), "z1".into(), false))]);
+        c.add_page(0, page, &at, now);
+        up(&mut c, "i-0", now);
+        c.add_job(spec("j-2", 4), 2, None, now);
+        c
+    };
+    let report = |token, session| Report {
+        machine: old.clone(),
+        address: "127.0.0.1:9".into(),
+        kind: "t".into(),
+        zone: "z1".into(),
+        spot: false,
+        session,
+        tally: 50,
+        token,
+        notice_s: None,
+        tasks: vec![],
+    };
+    let begun = |c: &mut Cluster| {
+        c.place(now);
+        c.jobs["j-2"].places.len()
+    };
+    let (last, this) = (4 << 24, 5 << 24);
+    // silence, lists, and a report that may be of any age are none
+    let mut c = leader();
+    assert!(!c.clear_of("j-1") && c.clear_of("j-3"), "of what is on record nobody is told that nothing is left");
+    assert_eq!(begun(&mut c), 0);
+    c.list(&[], now);
+    c.tidy(now);
+    assert_eq!(c.report(&report(last, 1), true, now), Some(true));
+    assert_eq!((begun(&mut c), c.clear_of("j-1")), (0, false));
+    // a report under this term's token is one, and so are a later session and a deletion
+    type Proof<'a> = &'a dyn Fn(&mut Cluster);
+    let proofs: [Proof; 3] = [
+        &|c| assert_eq!(c.report(&report(this, 1), true, now), Some(true)),
+        &|c| assert_eq!(c.report(&report(last, 2), true, now), Some(true)),
+        &|c| c.deleted(std::slice::from_ref(&old), now),
+    ];
+    for (n, proof) in proofs.iter().enumerate() {
+        let mut c = leader();
+        assert_eq!(begun(&mut c), 0);
+        proof(&mut c);
+        assert!(c.clear_of("j-1"), "{n}");
+        assert_eq!(begun(&mut c), 4, "proof {n}: the room is used at once");
+    }
+}
+
+/// A new machine is up within two seconds and gets work before any list has it, and the
+/// leader ends: the next one finds the start on its page with the machine's whereabouts,
+/// counts it, and takes neither a list that lags nor its own ignorance for a proof.
+#[test]
+fn a_start_on_a_machine_that_no_list_has_counts_for_the_next_leader() {
+    use crate::commit::{read_page, TxnLimits};
+    use crate::workers::Report;
+    use coralnotch_wire::state::{Item, Write};
+    let now = Instant::now();
+    let mut c = cluster(4, now);
+    let first = Report {
+        machine: "i-7".into(),
+        address: "127.0.0.1:9".into(),
+        kind: "t".into(),
+        zone: "z2".into(),
+        spot: true,
+        session: 1,
+        tally: 1,
+        token: 0,
+        notice_s: None,
+        tasks: vec![],
+    };
+    assert_eq!(c.report(&first, true, now), Some(true));
+    c.add_job(spec("j-1", 1), 1, None, now);
+    c.place(now);
+    assert_eq!(c.jobs["j-1"].places.len(), 1, "it gets work at once");
+    assert!(c.answer(&first, now).orders.is_empty(), "not before the start is stored: writes lag");
+    let limits = TxnLimits { writes: 8, guards: 32, page_bytes: 4096, value_bytes: 4096 };
+    let batch = c.next_batch(9, &limits).expect("a start is to be stored");
+    let Some(Write::Set { set, data, .. }) = batch.txn.writes.first().cloned() else { panic!("a page") };
+    let (id, page, at) = read_page(&set, &Item { path: set.clone(), data, stamp: 11 }).expect("our own page");
+    // the next leader: no list has the machine, and it was never heard
+    let mut next = cluster(5, now);
+    next.add_job(spec("j-1", 1), 1, None, now);
+    next.add_page(id, page, &at, now);
+    next.list(&[], now);
+    next.place(now);
+    let m = &next.machines["i-7"];
+    assert_eq!((&*m.zone, m.spot, m.tasks.len()), ("z2", true, 1));
+    assert_eq!(next.jobs["j-1"].todo.len(), 0, "it is not started elsewhere");
+    next.deleted(&["i-7".into()], now);
+    assert_eq!(next.jobs["j-1"].todo.len(), 1);
+}
--- a/packages/core/src/sim/mod.rs
+++ b/packages/core/src/sim/mod.rs
@@ -95,6 +95,9 @@
     CallsUnlooked,
     /// The word of some of the siblings is taken for that of all.
     SomeSiblings,
+    /// Whoever does not know a job says that nothing is left of it, though it does not
+    /// lead, or has not read what is on record.
+    ClearUnread,
     /// A controller that stood still trusts the authority it had before, and
     /// its writes are not guarded on the leader key.
     OldAuthority,
@@ -723,6 +726,7 @@
         Sabotage::SomeSiblings,
         Sabotage::CallsUnlooked,
         Sabotage::TellsAtOnce,
+        Sabotage::ClearUnread,
     ];
     // each on a thread of its own: some take hundreds of days
     let noticed = |s| (0..600).any(|seed| !World::new(seed, s).run(280_000, 180_000).broken.is_empty());
