--- a/packages/core/src/cluster/rented.rs
+++ b/packages/core/src/cluster/rented.rs
@@ -7,6 +7,7 @@
 
 use crate::model::*;
 use crate::policy::Policy;
+use coralnotch_wire::state::{Txn, Write};
 
 /// A kind of machine in a zone.
 pub type Pool = (Name, Name, bool);
@@ -42,16 +43,74 @@
     pub hears: Option<(f64, Instant)>,
 }
 
+/// What became of a try to put rentals on record.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Tried {
+    /// It was carried out.
+    Done,
+    /// These keys were not as expected.
+    Conflict(Vec<String>),
+    /// No answer: it may have been carried out, or may be later.
+    Doubt,
+    /// It was not carried out.
+    Refused,
+}
+
+/// Rentals on their way onto the record, under one key that no other record ever has.
+/// They are asked for once they are on record, and not before.
+#[derive(Debug)]
+pub struct Recording {
+    /// The key.
+    pub path: String,
+    /// What is to be on record.
+    pub rentals: Vec<Rental>,
+    /// A try got no answer.
+    doubted: bool,
+}
+
+impl Recording {
+    /// The transaction, the same at each try: whatever of it comes late finds the key
+    /// there, or another leader.
+    pub fn txn(&self, leader: u64) -> Txn {
+        let mut txn = Txn { guards: vec![], writes: vec![Write::set(self.path.clone(), &self.rentals)] };
+        txn.guard(crate::key::LEADER, leader);
+        txn.guard(self.path.clone(), 0);
+        txn
+    }
+
+    /// Whether they are on record after a try, or `None` if it is to be tried again: what
+    /// stays in doubt may be carried out yet, and a next leader would find a record of what
+    /// was planned anew.
+    pub fn tried(&mut self, outcome: &Tried) -> Option<bool> {
+        match outcome {
+            Tried::Done => Some(true),
+            // its key is this record's alone
+            Tried::Conflict(keys) if self.doubted && *keys == [self.path.as_str()] => Some(true),
+            Tried::Doubt => {
+                self.doubted = true;
+                None
+            }
+            Tried::Conflict(_) | Tried::Refused => Some(false),
+        }
+    }
+}
+
 impl Fleet {
+    /// What of these rentals has to be put on record in this term; nothing if all are.
+    pub fn recording(&mut self, rentals: &[Rental], term: u64) -> Option<Recording> {
+        let rentals = self.unrecorded(rentals);
+        (!rentals.is_empty()).then(|| Recording { path: self.record_key(term), rentals, doubted: false })
+    }
+
     /// Those of these rentals that are not on record yet.
-    pub fn unrecorded(&self, rentals: &[Rental]) -> Vec<Rental> {
+    pub(crate) fn unrecorded(&self, rentals: &[Rental]) -> Vec<Rental> {
         let on = |c: &Name| self.records.values().flatten().any(|r| r.0 == *c);
         rentals.iter().filter(|r| !on(&r.charter)).cloned().collect()
     }
 
     /// A key for a new record, never used before: one that stayed in doubt may
     /// be written yet, and must not replace another.
-    pub fn record_key(&mut self, term: u64) -> String {
+    pub(crate) fn record_key(&mut self, term: u64) -> String {
         self.next_record += 1;
         format!("{}{term}-{}", crate::key::RENTAL, self.next_record)
     }
--- a/packages/core/src/sim/mod.rs
+++ b/packages/core/src/sim/mod.rs
@@ -31,6 +31,7 @@
 
 pub use coralnotch_policy::example::SETTINGS;
 pub use coralnotch_wire::example::spec;
+pub use service::Records;
 
 /// A new leader's state, for tests of single slices.
 pub fn cluster(term: u64, now: Instant) -> Cluster {
@@ -680,6 +681,7 @@
     let seeds = first + seeds;
     let next = std::sync::atomic::AtomicU64::new(first);
     let failed = std::sync::Mutex::new(Vec::new());
+    let slips = std::sync::atomic::AtomicU32::new(0);
     std::thread::scope(|s| {
         for _ in 0..std::thread::available_parallelism().map_or(1, |n| n.get()) {
             s.spawn(|| loop {
@@ -688,6 +690,7 @@
                     return;
                 }
                 let w = World::new(1000 + seed, Sabotage::None).run(280_000, 180_000);
+                slips.fetch_add(w.slips, std::sync::atomic::Ordering::Relaxed);
                 let mut wrong = w.broken.clone();
                 wrong.extend(w.forgotten());
                 if !wrong.is_empty() {
@@ -702,6 +705,7 @@
             });
         }
     });
+    println!("starts after a confirmed cancellation: {}", slips.into_inner());
     let failed = failed.into_inner().expect("a list");
     assert!(failed.is_empty(), "{} of {seeds} days failed: {failed:?}", failed.len());
 }
--- a/packages/core/src/sim/service.rs
+++ b/packages/core/src/sim/service.rs
@@ -55,3 +55,34 @@
         self.kv.get(&path).and_then(|(d, _)| read_value::<FateRecord>(&path, d.clone())).map(|f| f.fate)
     }
 }
+
+/// The state service as far as records of rentals need it.
+#[derive(Default)]
+pub struct Records(Store);
+
+impl Records {
+    /// A leader of this term holds the key.
+    pub fn leads(&mut self, term: u64) {
+        let mut txn = Txn::default();
+        txn.writes.push(Write::set(key::LEADER, &term));
+        self.0.apply(&txn).expect("nothing is guarded");
+    }
+
+    pub fn leader(&self) -> u64 {
+        self.0.stamp(key::LEADER)
+    }
+
+    pub fn has(&self, path: &str) -> bool {
+        self.0.kv.contains_key(path)
+    }
+
+    pub fn apply(&mut self, txn: &Txn) -> Result<u64, Vec<String>> {
+        self.0.apply(txn)
+    }
+
+    /// All records, with their keys.
+    pub fn rentals(&self) -> Vec<(String, Vec<crate::cluster::Rental>)> {
+        let of = |(k, (data, _)): (&String, &(rmpv::Value, u64))| Some((k.clone(), read_value(k, data.clone())?));
+        self.0.kv.iter().filter(|(k, _)| k.starts_with(key::RENTAL)).filter_map(of).collect()
+    }
+}
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -10,7 +10,7 @@
 
 use crate::authority::{Authority, Ears, DEAF};
 use crate::cluster::{Cluster, Machine, Stage};
-use crate::cluster::{Listed, Rental};
+use crate::cluster::{Listed, Rental, Tried};
 use crate::cluster::{Page, Whereabouts};
 use crate::commit::{begun, read_page};
 use crate::fleet::Plan;
@@ -572,40 +572,34 @@
     /// before the answer, the next leader learns of them.  One key for all that
     /// are new.  Without a record they are planned again.
     async fn record(&self, rentals: &[Rental], a: Authority) -> bool {
-        let (new, path) = {
-            let mut i = self.lock();
-            let Some(c) = i.cluster.as_mut() else { return false };
-            let new = c.fleet.unrecorded(rentals);
-            if new.is_empty() {
-                return true;
-            }
-            (new, c.fleet.record_key(a.term))
+        let new = match self.lock().cluster.as_mut() {
+            Some(c) => c.fleet.recording(rentals, a.term),
+            None => return false,
         };
-        let mut txn = Txn { guards: vec![], writes: vec![Write::set(path.clone(), &new)] };
-        txn.guard(key::LEADER, a.stamp);
-        txn.guard(path.clone(), 0);
-        // what stays in doubt may be carried out yet: the same again, or a next
-        // leader would find a record of what was planned anew
-        let mut doubted = false;
+        let Some(mut new) = new else { return true };
         for _ in 0..RECORD_TRIES {
-            match self.store.txn(&txn).await {
-                Ok(Outcome::Done(_)) => {}
-                // its key is this record's alone
-                Ok(Outcome::Conflict(keys)) if doubted && keys == [path.as_str()] => {}
+            let tried = match self.store.txn(&new.txn(a.stamp)).await {
+                Ok(Outcome::Done(_)) => Tried::Done,
+                Ok(Outcome::Conflict(keys)) => Tried::Conflict(keys),
                 Err(Error::Doubt(e)) => {
                     tracing::debug!("a record of rentals is in doubt: {e}");
-                    doubted = true;
-                    continue;
+                    Tried::Doubt
+                }
+                Err(_) => Tried::Refused,
+            };
+            match new.tried(&tried) {
+                None => {}
+                Some(true) => {
+                    if let Some(c) = self.lock().cluster.as_mut() {
+                        c.fleet.recorded(new.path, &new.rentals);
+                    }
+                    return true;
                 }
-                other => {
-                    tracing::debug!("rentals are not on record: {other:?}");
+                Some(false) => {
+                    tracing::debug!("rentals are not on record: {tried:?}");
                     return false;
                 }
             }
-            if let Some(c) = self.lock().cluster.as_mut() {
-                c.fleet.recorded(path, &new);
-            }
-            return true;
         }
         false
     }
