--- a/packages/core/src/sim/mod.rs
+++ b/packages/core/src/sim/mod.rs
@@ -497,7 +497,13 @@
                     self.kills.push((t + n * self.rng.u64(3..15) * STEP, i));
                 }
             }
-            1 => (0..3).for_each(|i| self.ends(i)),
+            1 => {
+                (0..3).for_each(|i| self.ends(i));
+                if self.rng.u32(0..3) == 0 {
+                    // all are away for longer than a worker's lease
+                    self.down_until.fill(t + self.rng.u64(310..450) * STEP);
+                }
+            }
             2 => self.outage = t + self.rng.u64(10..150) * STEP,
             3 | 4 => {
                 let i = self.rng.usize(0..3);
