--- a/packages/core/src/placement/tests.rs
+++ b/packages/core/src/placement/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use crate::cluster::{Machine, Stage};
-use crate::sim::{cluster, spec};
+use crate::sim::{cluster, report, spec};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -109,7 +109,6 @@
 #[test]
 fn places_of_a_cancelled_job_count_until_there_is_a_proof() {
     use crate::cluster::{Page, Start, TeamLimit};
-    use crate::workers::Report;
     let now = Instant::now();
     let most = Size { cpus: 4.0, gpus: 0.0, memory: 0.0 };
     let old: Name = "i-9".into();
@@ -126,18 +125,7 @@
         c.add_job(spec("j-2", 4), 2, None, now);
         c
     };
-    let report = |token, session| Report {
-        machine: old.clone(),
-        address: "127.0.0.1:9".into(),
-        kind: "t".into(),
-        zone: "z1".into(),
-        spot: false,
-        session,
-        tally: 50,
-        token,
-        notice_s: None,
-        tasks: vec![],
-    };
+    let report = |token, session| report("i-9", "z1", session, 50, token);
     let begun = |c: &mut Cluster| {
         c.place(now);
         c.jobs["j-2"].places.len()
@@ -177,18 +165,7 @@
     use coralnotch_wire::state::{Item, Write};
     let now = Instant::now();
     let mut c = cluster(4, now);
-    let first = Report {
-        machine: "i-7".into(),
-        address: "127.0.0.1:9".into(),
-        kind: "t".into(),
-        zone: "z2".into(),
-        spot: true,
-        session: 1,
-        tally: 1,
-        token: 0,
-        notice_s: None,
-        tasks: vec![],
-    };
+    let first = Report { spot: true, ..report("i-7", "z2", 1, 1, 0) };
     assert_eq!(c.report(&first, true, now), Some(true));
     c.add_job(spec("j-1", 1), 1, None, now);
     c.place(now);
@@ -210,3 +187,40 @@
     next.deleted(&["i-7".into()], now);
     assert_eq!(next.jobs["j-1"].todo.len(), 1);
 }
+
+/// Jobs bound to one zone lose their machines, an array and a gang: they wait for room
+/// there, which holds up nobody who may run elsewhere, and begin as soon as there is some,
+/// the larger one in its turn.
+#[test]
+fn jobs_bound_to_a_zone_wait_for_room_there_and_hold_nobody_up() {
+    let t0 = Instant::now();
+    let mut c = cluster(1, t0);
+    let zone = |c: &mut Cluster, name: &str, zone: &str, now| {
+        up(c, name, now);
+        c.machines.get_mut(name).expect("it is up").zone = zone.into();
+    };
+    zone(&mut c, "i-0", "z1", t0);
+    zone(&mut c, "i-1", "z1", t0);
+    zone(&mut c, "i-2", "z2", t0);
+    let bound =
+        |id: &str, tasks, shape| Arc::new(Spec { zone: Some("z1".into()), shape, ..(*spec(id, tasks)).clone() });
+    c.add_job(bound("j-1", 8, Shape::Array), 1, None, t0);
+    c.add_job(bound("j-2", 6, Shape::Gang), 2, None, t0);
+    c.place(t0);
+    let begun = |c: &Cluster| ["j-1", "j-2", "j-3"].map(|id| c.jobs.get(id).map_or(0, |j| j.places.len()));
+    assert_eq!(begun(&c), [8, 6, 0]);
+    // the zone's machines die; others have room, which is not theirs
+    c.deleted(&["i-0".into(), "i-1".into()], t0);
+    let now = t0 + Duration::from_secs(1);
+    c.add_job(spec("j-3", 8), 3, None, now);
+    c.place(now);
+    assert_eq!(begun(&c), [0, 0, 8], "what may run elsewhere runs");
+    assert!(c.machines.values().all(|m| &*m.zone != "z1" || m.tasks.is_empty()));
+    // room comes back machine by machine
+    zone(&mut c, "i-3", "z1", now);
+    c.place(now);
+    assert_eq!(begun(&c)[0], 8, "the array, whose turn it is");
+    zone(&mut c, "i-4", "z1", now);
+    c.place(now);
+    assert_eq!(begun(&c), [8, 6, 8]);
+}
--- a/packages/core/src/sim/mod.rs
+++ b/packages/core/src/sim/mod.rs
@@ -42,6 +42,22 @@
     c
 }
 
+/// A report of a machine without tasks.
+pub fn report(machine: &str, zone: &str, session: u64, tally: u64, token: u64) -> Report {
+    Report {
+        machine: machine.into(),
+        address: "127.0.0.1:9".into(),
+        kind: "t".into(),
+        zone: zone.into(),
+        spot: false,
+        session,
+        tally,
+        token,
+        notice_s: None,
+        tasks: vec![],
+    }
+}
+
 pub fn machine_type(name: &str) -> MachineType {
     MachineType {
         name: name.into(),
--- a/packages/core/src/workers/tests.rs
+++ b/packages/core/src/workers/tests.rs
@@ -12,18 +12,7 @@
     assert!(held > seen, "the worker refuses what left under the token before");
     let full = (4 << 24) - 1;
     assert_eq!(raise(full), full, "never into the next term");
-    let report = |tally, token| Report {
-        machine: "i-1".into(),
-        address: "127.0.0.1:9".into(),
-        kind: "t".into(),
-        zone: "z0".into(),
-        spot: false,
-        session: 1,
-        tally,
-        token,
-        notice_s: None,
-        tasks: vec![],
-    };
+    let report = |tally, token| crate::sim::report("i-1", "z0", 1, tally, token);
     assert_eq!(c.report(&report(1, seen), true, now), Some(true));
     let m = c.machines.get_mut("i-1").expect("it reported");
     (m.doubt, m.direct) = (Some(seen), Some(0));
@@ -200,18 +189,7 @@
             let start = Start { machine: machine.clone(), task, attempt, session };
             c.add_page(page as u32, Page { stamp: 1, starts: vec![start], done: vec![] }, &at, now);
         }
-        let old = Report {
-            machine: machine.clone(),
-            address: "127.0.0.1:9".into(),
-            kind: "t".into(),
-            zone: "z0".into(),
-            spot: false,
-            session: 3,
-            tally: 9,
-            token: 2 << 24,
-            notice_s: None,
-            tasks: vec![],
-        };
+        let old = crate::sim::report("i-1", "z0", 3, 9, 2 << 24);
         assert_eq!(c.report(&old, true, now), Some(true));
         assert!(c.machines[&machine].tasks.values().any(|p| p.present()), "{order:?}: the place is free");
         // a later session is a proof, and so is this term's token
@@ -244,15 +222,6 @@
         c
     };
     let report = |tally, token, tasks: &[(&str, u64, Told)]| Report {
-        machine: machine.clone(),
-        address: "127.0.0.1:9".into(),
-        kind: "t".into(),
-        zone: "z0".into(),
-        spot: false,
-        session: 1,
-        tally,
-        token,
-        notice_s: None,
         tasks: tasks
             .iter()
             .map(|(job, attempt, (state, cause))| Reported {
@@ -263,6 +232,7 @@
                 saved: None,
             })
             .collect(),
+        ..crate::sim::report("i-1", "z0", 1, tally, token)
     };
     let there = |c: &Cluster| {
         let of = |job| c.machines[&machine].tasks.get(&task(job)).filter(|p| p.present()).map(|p| p.attempt);
