One writer of a job's end; reports of earlier attempts judged in one place

Cause: the guarded write of an end stood in answers, commit and twice in the seeded world, which also built submissions and cancellations of its own beside core/answers; the judgement of what an old report lists looked the place up three times. Change: key::end, the world uses submissions and cancellations, one look-up. Comments of the world say what it does: bursts are five jobs a second, a job left waiting is found after eighty seconds. Behaviour as before.

--- a/packages/core/src/answers.rs
+++ b/packages/core/src/answers.rs
@@ -285,7 +285,7 @@
         txn.guard(path.clone(), 0);
         txn.writes.push(Write::set(path, spec));
         if doomed {
-            end(&mut txn, &spec.id);
+            key::end(&mut txn, &spec.id, Fate::Cancelled);
         }
     }
     txn
@@ -294,16 +294,10 @@
 /// The cancellation of jobs, each guarded on having no end.
 pub fn cancellations(ids: &[Name]) -> Txn {
     let mut txn = Txn::default();
-    ids.iter().for_each(|id| end(&mut txn, id));
+    ids.iter().for_each(|id| key::end(&mut txn, id, Fate::Cancelled));
     txn
 }
 
-fn end(txn: &mut Txn, id: &str) {
-    let path = format!("{}{id}", key::FATE);
-    txn.guard(path.clone(), 0);
-    txn.writes.push(Write::set(path, &FateRecord { fate: Fate::Cancelled }));
-}
-
 /// Why a job can never run, if it cannot: its team, the machine types, their zones and the
 /// team's limit speak against it.
 pub fn impossible(spec: &Spec, teams: &[Team], types: &[MachineType]) -> Option<&'static str> {
--- a/packages/core/src/commit.rs
+++ b/packages/core/src/commit.rs
@@ -210,9 +210,7 @@
     }
 
     fn end(&mut self, id: Name, fate: Fate) {
-        let path = format!("{}{id}", key::FATE);
-        self.txn.guard(path.clone(), 0);
-        self.txn.writes.push(Write::set(path, &FateRecord { fate }));
+        key::end(&mut self.txn, &id, fate);
         self.ends.push((id, fate));
     }
 }
--- a/packages/core/src/key.rs
+++ b/packages/core/src/key.rs
@@ -2,6 +2,9 @@
 //! what lies below `w/` is watched by every controller, the rest only read by
 //! new leaders.
 
+use coralnotch_wire::model::{Fate, FateRecord};
+use coralnotch_wire::state::{Txn, Write};
+
 /// Everything the controllers watch.
 pub const WATCHED: &str = "c2/w/";
 /// Submissions.
@@ -24,3 +27,10 @@
 pub const RENTAL: &str = "c2/p/rental/";
 /// The layout before this one, which this program does not read.
 pub const OUTDATED: &str = "c1/";
+
+/// A job's end, guarded on there being none: whoever comes first, it stays.
+pub fn end(txn: &mut Txn, id: &str, fate: Fate) {
+    let path = format!("{FATE}{id}");
+    txn.guard(path.clone(), 0);
+    txn.writes.push(Write::set(path, &FateRecord { fate }));
+}
--- a/packages/core/src/sim/history.rs
+++ b/packages/core/src/sim/history.rs
@@ -319,13 +319,11 @@
     /// A leader ends a job whose tasks are done.
     fn end(&mut self, d: usize) {
         let (id, now) = (self.id(), self.at());
-        let path = format!("{}{id}", key::FATE);
         if self.outage || self.service.job(&id).is_none() || self.service.store.fate(&id).is_some() {
             return;
         }
         let mut txn = Txn::default();
-        txn.guard(path.clone(), 0);
-        txn.writes.push(Write::set(path, &FateRecord { fate: Fate::Done }));
+        key::end(&mut txn, &id, Fate::Done);
         let stamp = self.service.apply(&txn).expect("it has no end");
         // whoever wrote it knows at once, or by the watch alone
         if self.rng.bool() {
--- a/packages/core/src/sim/mod.rs
+++ b/packages/core/src/sim/mod.rs
@@ -14,6 +14,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::answers::{cancellations, submissions};
 use crate::cluster::Listed;
 use crate::cluster::{Cluster, Stage, TeamLimit};
 use crate::commit::TxnLimits;
@@ -200,7 +201,7 @@
     kills: Vec<(Ms, usize)>,
     /// Copies of reports that are kept for the next leader.
     for_next: Vec<Report>,
-    /// Until when one-task jobs come four a second, and until when jobs are cancelled as
+    /// Until when one-task jobs come five a second, a little faster than the users', and until when jobs are cancelled as
     /// their last tasks end.
     burst: Ms,
     at_end: Ms,
@@ -412,11 +413,7 @@
         if spec.spread && spec.zone.is_some() {
             Arc::make_mut(&mut spec).zone = None;
         }
-        let mut txn = Txn::default();
-        let path = format!("{}{}", key::JOB, spec.id);
-        txn.guard(path.clone(), 0);
-        txn.writes.push(Write::set(path, &*spec));
-        let stamp = self.store.apply(&txn).expect("a new job");
+        let stamp = self.store.apply(&submissions([(&*spec, false)].into_iter())).expect("a new job");
         if self.rng.u32(0..12) == 0 {
             self.mistaken.insert(spec.id.clone());
         }
@@ -450,12 +447,7 @@
             // who takes the withdrawal ends what needs the job, as far as it knows
             ends.extend(open.iter().filter(|o| self.jobs[*o].0.needs.contains(id)).take(2).cloned());
         }
-        let mut txn = Txn::default();
-        for id in &ends {
-            let path = format!("{}{id}", key::FATE);
-            txn.guard(path.clone(), 0);
-            txn.writes.push(Write::set(path, &FateRecord { fate: Fate::Cancelled }));
-        }
+        let txn = cancellations(&ends);
         if let Ok(stamp) = self.store.apply(&txn) {
             for id in ends {
                 self.learns(by, &id, Fate::Cancelled, stamp);
@@ -482,7 +474,7 @@
         match self.rng.u32(0..22) {
             // leaders change ten times in two minutes
             17 => (0..10).for_each(|n| self.kills.push((t + n * 12_000, LEADER))),
-            // one-task jobs, four a second, a quarter of them cancelled
+            // one-task jobs, a quarter of them cancelled
             18 => self.burst = t + self.rng.u64(100..600) * STEP,
             19 => self.at_end = t + self.rng.u64(100..600) * STEP,
             // machines reach no controller, and are reached
@@ -623,7 +615,7 @@
             if !calm && self.rng.u32(0..self.quiet) == 0 {
                 self.trouble();
             }
-            if self.now < self.burst && self.now.is_multiple_of(250 / STEP * STEP) {
+            if self.now < self.burst && self.now.is_multiple_of(2 * STEP) {
                 self.submit_one(true);
                 if self.rng.u32(0..4) == 0 {
                     self.cancel();
--- a/packages/core/src/sim/rules.rs
+++ b/packages/core/src/sim/rules.rs
@@ -60,9 +60,10 @@
         held.filter(|h| h.spec.needs.iter().all(over)).map(|h| h.spec.id.to_string()).collect()
     }
 
-    /// Once all troubles are over, no job is left waiting for forty seconds beside room that
-    /// fits it all that time, its team under its limit.  What fails everywhere is probed
-    /// seldom, and what waits for others waits rightly.
+    /// Once all troubles are over, no job is left waiting beside room that fits it, its team
+    /// under its limit: at each second for so long, room that was there for as long before
+    /// that, eighty seconds in all.  What fails everywhere is probed seldom, and what waits
+    /// for others waits rightly.
     pub(super) fn nobody_waits(&mut self) {
         const SECONDS: usize = 40;
         let (mut used, mut left): (HashMap<Name, f64>, Vec<f64>) = Default::default();
--- a/packages/core/src/workers.rs
+++ b/packages/core/src/workers.rs
@@ -318,12 +318,12 @@
                 self.stir = true;
                 return;
             }
-            // a gang's task may have been started again here under the same attempt
-            let again = |p: &&Place| !fenced && !p.fenced && p.spec.shape == Shape::Gang;
-            if m.tasks.get(&t.task).filter(|_| known).is_some_and(|p| again(&p)) {
-                return;
-            }
-            if let Some(since) = m.tasks.get(&t.task).filter(|_| known).map(|p| p.since) {
+            if let Some(p) = m.tasks.get(&t.task).filter(|_| known) {
+                // a gang's task may have been started again here under the same attempt
+                if !fenced && !p.fenced && p.spec.shape == Shape::Gang {
+                    return;
+                }
+                let since = p.since;
                 self.vacate(&r.machine, &t.task, now);
                 self.ended(&r.machine, &t.task, cause, over, since, now);
             }
@@ -338,11 +338,11 @@
             TaskState::Running => Phase::Running,
             _ => Phase::Flushing,
         };
-        if !known && !fenced && m.tasks.contains_key(&t.task) {
-            // old news of an attempt before the one that is on record here
-            return;
-        }
         if !known {
+            if !fenced && m.tasks.contains_key(&t.task) {
+                // old news of an attempt before the one that is on record here
+                return;
+            }
             // on the machine without a record of it: it counts as present
             // and, unless it is what the job is waiting for, is stopped
             let Some(job) = self.jobs.get_mut(&t.task.job) else {
--- a/tools/days.py
+++ b/tools/days.py
@@ -15,10 +15,10 @@
 number of machines in each trouble.  --run multiplies how long the tasks of a class
 run (of all, with the class `*`); --cancelled sets the share of its jobs that users
 withdraw; --rate multiplies how often they come, --tasks gives each so many tasks,
---limits multiplies the teams' limits and guarantees.  --crash adds TIMES crashes of COUNT controllers, the busiest first, from
-second AT on, EVERY seconds apart; --cut cuts the busiest controller off for so
-long, and what it sent arrives at the end; --fault adds any trouble that the bench
-knows, for example node_cut,at_s=120,count=1,busiest=true,from_state=true,for_s=4,
+--limits multiplies the teams' limits and guarantees.  --crash adds TIMES crashes of
+COUNT controllers, the busiest first, from second AT on, EVERY seconds apart; --cut
+cuts the busiest controller off for so long, and what it sent arrives at the end;
+--fault adds any trouble that the bench knows, for example node_cut,at_s=120,count=1,busiest=true,from_state=true,for_s=4,
 mode=refuse.  All of these go to every day of the site, or, with --day, to one new
 day that has no others.  --pairs adds a day for each pair of the troubles that meet,
 overlapping, drawn by the seed; --meet adds a day of just these together (an unknown
