Emulator: a scale run of regions with real controllers among hollow workers

coralnotch-emulator scale FILE plays parts of a target in phases: each region has a state service, a cloud and its workers in processes of their own, so that processor time is known by role. The workers' state machine steps only machines on which something is due; checks of second copies look at the machines that list the task. Settings of controllers are written in one place for it and for up. It stops at its bounds and ends what it started, also when it is killed.

--- a/packages/emulator/src/cloud.rs
+++ b/packages/emulator/src/cloud.rs
@@ -1,7 +1,7 @@
 //! The cloud: types, rentals under charters, deletions, and a list that lags.
 //! A plain state machine: every step takes `now` and a generator.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use coralnotch_wire::cloud::{Listed, Rental, Stage};
@@ -101,6 +101,8 @@
     calls: Rate,
     pictures: VecDeque<Picture>,
     out: bool,
+    /// Zones that have failed: nothing can be rented there.
+    closed: BTreeSet<Name>,
     /// Cost so far of what is gone, at the types' prices.
     spent: f64,
 }
@@ -118,6 +120,7 @@
             calls,
             pictures: VecDeque::new(),
             out: false,
+            closed: BTreeSet::new(),
             spent: 0.0,
         }
     }
@@ -137,6 +140,15 @@
         self.out = out;
     }
 
+    /// A zone fails, or is back: while it is closed nothing can be rented there.
+    pub fn close_zone(&mut self, zone: &Name, closed: bool) {
+        if closed {
+            self.closed.insert(zone.clone());
+        } else {
+            self.closed.remove(zone);
+        }
+    }
+
     /// What all rentals have cost, in the types' currency.
     pub fn cost(&self, now: Instant) -> f64 {
         self.spent + self.machines.values().map(|m| self.price(m, now)).sum::<f64>()
@@ -225,7 +237,7 @@
         }
         let same = |m: &&Rented| m.kind == r.kind && m.zone == r.zone && m.spot == r.spot && m.died.is_none();
         let free = self.settings.capacity.saturating_sub(self.machines.values().filter(same).count());
-        if free == 0 {
+        if free == 0 || self.closed.contains(&r.zone) {
             return Response::refuse(503, "no capacity");
         }
         let boot_s = t.boot_s;
--- a/packages/emulator/src/main.rs
+++ b/packages/emulator/src/main.rs
@@ -7,6 +7,7 @@
 use clap::{Parser, Subcommand};
 use coralnotch_emulator::load::{self, Scenario};
 use coralnotch_emulator::page;
+use coralnotch_emulator::scale;
 use coralnotch_emulator::up::{up, Error, Options};
 
 #[derive(Parser)]
@@ -31,6 +32,17 @@
         #[arg(long)]
         controller: Option<PathBuf>,
     },
+    /// Play parts of a large target: regions of controllers among hollow workers.
+    Scale(scale::Options),
+    /// A process of a scale run.
+    #[command(hide = true)]
+    ScaleRole {
+        /// What to be.
+        role: String,
+        /// The process that started this.
+        #[arg(long)]
+        parent: u32,
+    },
     /// Set reports side by side.
     Compare {
         /// Reports.
@@ -47,6 +59,10 @@
 
 fn main() -> ExitCode {
     let args = Args::parse();
+    if let Command::ScaleRole { role, parent } = &args.command {
+        // ends with the run that started it, not at a signal meant for that
+        return ended(scale::role::run(role, *parent));
+    }
     tracing_subscriber::fmt().with_max_level(tracing::Level::WARN).with_writer(std::io::stderr).init();
     let (stop, stopped) = smol::channel::bounded(1);
     if let Err(e) = ctrlc::set_handler(move || {
@@ -59,7 +75,14 @@
         Command::Up(options) => up(options, stopped, |_| ()).map(drop),
         Command::Load { scenario, report, controller } => load(scenario, report, controller.clone()),
         Command::Compare { reports, page } => compare(reports, page.as_deref()),
+        Command::Scale(options) => scale::run(options, &stopped).map(drop),
+        Command::ScaleRole { .. } => Ok(()),
     };
+    ended(done)
+}
+
+/// The exit code, with the error said.
+fn ended(done: Result<(), Error>) -> ExitCode {
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
--- a/packages/emulator/src/serve.rs
+++ b/packages/emulator/src/serve.rs
@@ -3,17 +3,17 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use coralnotch_wire::http::{self, Client, Request, Response, ServerLimits};
-use coralnotch_wire::model::Name;
+use coralnotch_wire::model::{MachineType, Name};
 use coralnotch_wire::workers::{Answer, DirectBody};
 use fastrand::Rng;
 use futures_lite::future::or;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Task};
 
@@ -69,7 +69,52 @@
     pub delay: Cell<Duration>,
     controllers: Vec<Controller>,
     report_s: f64,
-    workers: RefCell<HashMap<Name, Task<()>>>,
+    workers: RefCell<HashMap<Name, Worker>>,
+    /// Address that the workers listen on.
+    pub host: Cell<IpAddr>,
+    /// What passed between workers and controllers.
+    pub traffic: Cell<Traffic>,
+}
+
+/// A machine's worker: its sockets are gone when this is dropped.
+struct Worker {
+    /// There is something to report.
+    wake: smol::channel::Sender<()>,
+    _work: Task<()>,
+}
+
+/// A machine that is up.
+#[derive(Debug, Clone)]
+pub struct Booted {
+    /// Its name.
+    pub name: Name,
+    /// Its type.
+    pub kind: MachineType,
+    /// Its zone.
+    pub zone: Name,
+    /// Spot or ordinary.
+    pub spot: bool,
+}
+
+/// Messages between workers and controllers, with their bytes as HTTP has them.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Traffic {
+    /// Reports sent.
+    pub reports: u64,
+    /// ... answered with 200.
+    pub answered: u64,
+    /// ... sent to another controller.
+    pub redirected: u64,
+    /// ... with another answer or none.
+    pub failed: u64,
+    /// Bytes of reports.
+    pub report_bytes: u64,
+    /// Bytes of their answers.
+    pub answer_bytes: u64,
+    /// Direct commands.
+    pub direct: u64,
+    /// Bytes of direct commands and of their answers.
+    pub direct_bytes: u64,
 }
 
 fn limits() -> ServerLimits {
@@ -112,6 +157,8 @@
             controllers,
             report_s,
             workers: RefCell::default(),
+            host: Cell::new(Ipv4Addr::LOCALHOST.into()),
+            traffic: Cell::default(),
         })
     }
 
@@ -162,29 +209,67 @@
         for e in events {
             match e {
                 Event::Up(name) => {
-                    let worker = self.clone().worker(name.clone());
-                    self.workers.borrow_mut().insert(name, ex.spawn(worker));
-                }
-                Event::Notice(name, at) => {
-                    if let Some(m) = self.yard.borrow_mut().machine(&name) {
-                        (m.taken, m.changed) = (Some(at), true);
+                    let booted = self.booted(&name);
+                    if let Some(b) = booted {
+                        self.clone().boot(ex, b);
                     }
                 }
-                Event::Gone(name) => {
-                    self.yard.borrow_mut().gone(&name);
-                    // its sockets go with it
-                    self.workers.borrow_mut().remove(&name);
-                }
+                Event::Notice(name, at) => self.notice(&name, at),
+                Event::Gone(name) => self.gone(&name),
             }
         }
     }
 
+    /// A machine as the cloud has it.
+    pub fn booted(&self, name: &Name) -> Option<Booted> {
+        let cloud = self.cloud.borrow();
+        let m = cloud.machines().get(name)?;
+        Some(Booted { name: name.clone(), kind: cloud.kind(&m.kind)?.clone(), zone: m.zone.clone(), spot: m.spot })
+    }
+
+    /// Starts the worker of a machine that is up.
+    pub fn boot(self: Rc<Self>, ex: &Rc<LocalExecutor<'static>>, b: Booted) {
+        let (wake, woken) = smol::channel::bounded(1);
+        let name = b.name.clone();
+        let work = ex.spawn(self.clone().worker(b, woken));
+        self.workers.borrow_mut().insert(name, Worker { wake, _work: work });
+    }
+
+    /// The cloud takes a machine back at that time.
+    pub fn notice(&self, name: &Name, at: Instant) {
+        self.yard.borrow_mut().notice(name, at);
+        self.wake_changed();
+    }
+
+    /// A machine is gone, and its sockets with it.
+    pub fn gone(&self, name: &Name) {
+        self.yard.borrow_mut().gone(name);
+        self.workers.borrow_mut().remove(name);
+    }
+
+    /// Workers with something to report look at it.
+    fn wake_changed(&self) {
+        let changed = self.yard.borrow_mut().take_changed();
+        let workers = self.workers.borrow();
+        for w in changed.iter().filter_map(|n| workers.get(n)) {
+            let _ = w.wake.try_send(());
+        }
+    }
+
+    /// Adds to what passed between workers and controllers.
+    fn passed(&self, add: impl FnOnce(&mut Traffic)) {
+        let mut t = self.traffic.get();
+        add(&mut t);
+        self.traffic.set(t);
+    }
+
     /// Lets time pass, until it is dropped.
     pub async fn time(self: Rc<Self>, ex: Rc<LocalExecutor<'static>>) {
         loop {
             smol::Timer::after(TICK).await;
             let now = Instant::now();
             self.yard.borrow_mut().step(now);
+            self.wake_changed();
             let events = self.cloud.borrow_mut().step(now);
             self.clone().carry_out(&ex, events);
         }
@@ -192,19 +277,15 @@
 
     /// One machine's worker, with its server and all its sockets; gone when
     /// this is dropped.
-    async fn worker(self: Rc<Self>, name: Name) {
-        let Ok(listener) = TcpListener::bind("127.0.0.1:0").await else {
+    async fn worker(self: Rc<Self>, b: Booted, woken: smol::channel::Receiver<()>) {
+        let name = b.name;
+        let Ok(listener) = TcpListener::bind((self.host.get(), 0)).await else {
             tracing::error!("no port for {name}");
             return;
         };
         let Ok(address) = listener.local_addr() else { return };
-        {
-            let cloud = self.cloud.borrow();
-            let Some(m) = cloud.machines().get(&name) else { return };
-            let Some(kind) = cloud.kind(&m.kind).cloned() else { return };
-            let at: Name = address.to_string().into();
-            self.yard.borrow_mut().up(name.clone(), kind, m.zone.clone(), m.spot, at, Instant::now());
-        }
+        let at: Name = address.to_string().into();
+        self.yard.borrow_mut().up(name.clone(), b.kind, b.zone, b.spot, at, Instant::now());
         let (w, n) = (self.clone(), name.clone());
         let handler = move |r: Request| {
             let answer = w.direct(&n, &r);
@@ -218,10 +299,22 @@
         };
         let ex = Rc::new(LocalExecutor::new());
         let server = http::serve(ex.clone(), listener, limits(), Rc::new(handler));
-        ex.run(or(server, self.reports(name))).await;
+        ex.run(or(server, self.reports(name, woken))).await;
     }
 
     fn direct(&self, name: &Name, r: &Request) -> Option<Response> {
+        let answer = self.direct_answer(name, r)?;
+        self.wake_changed();
+        let asked = http::request_head(SocketAddr::new(self.host.get(), 0), &r.method, &r.path, r.body.len());
+        let told = http::response_head(&answer, false);
+        self.passed(|t| {
+            t.direct += 1;
+            t.direct_bytes += (asked.len() + r.body.len() + told.len() + answer.body.len()) as u64;
+        });
+        Some(answer)
+    }
+
+    fn direct_answer(&self, name: &Name, r: &Request) -> Option<Response> {
         let (mut yard, now) = (self.yard.borrow_mut(), Instant::now());
         let status = match (r.method.as_str(), r.path.as_str()) {
             ("GET", "/status") => 200,
@@ -237,23 +330,37 @@
         Some(Response::new(status, &yard.report(name, now)?.0))
     }
 
-    async fn reports(&self, name: Name) {
+    /// Reports every interval, and early when something changed.
+    async fn reports(&self, name: Name, woken: smol::channel::Receiver<()>) {
         let (client, mut at) = (Client::new(1), self.rng.borrow_mut().usize(0..self.controllers.len().max(1)));
         let mut due = Instant::now();
         let mut last: Option<Instant> = None;
         loop {
-            smol::Timer::after(TICK).await;
             let now = Instant::now();
-            let changed = self.yard.borrow().machines().get(&name).is_some_and(|m| m.changed);
-            let rested = last.is_none_or(|t| now.saturating_duration_since(t) >= REPORT_GAP);
-            if now < due && !(changed && rested) {
+            let early = self.yard.borrow().has_changed(&name).then(|| last.map_or(now, |t| t + REPORT_GAP));
+            let next = early.map_or(due, |t| due.min(t));
+            if now < next {
+                let timer = async {
+                    smol::Timer::at(next).await;
+                };
+                let wake = async {
+                    let _ = woken.recv().await;
+                };
+                or(timer, wake).await;
                 continue;
             }
             let Some((report, sent)) = self.yard.borrow_mut().report(&name, now) else { return };
             let Some(to) = self.controllers.get(at) else { return };
             last = Some(now);
             let body = http::encode(&report);
-            let wait = match client.send(to.addr, "POST", "/hello", Some(&body), REPORT_LIMIT).await {
+            let head = http::request_head(to.addr, "POST", "/hello", body.len()).len();
+            self.passed(|t| {
+                t.reports += 1;
+                t.report_bytes += (head + body.len()) as u64;
+            });
+            let answer = client.send(to.addr, "POST", "/hello", Some(&body), REPORT_LIMIT).await;
+            self.count_answer(&answer);
+            let wait = match answer {
                 Ok((200, body)) => {
                     if let Ok(a) = http::decode::<Answer>(&body) {
                         self.yard.borrow_mut().answered(&name, sent, a, Instant::now());
@@ -261,18 +368,9 @@
                     Duration::from_secs_f64(self.report_s * (0.75 + 0.5 * self.rng.borrow_mut().f64()))
                 }
                 Ok((421, body)) => {
-                    let named = http::decode::<Elsewhere>(&body).unwrap_or_default().answer_to;
-                    let known = self.controllers.iter().position(|c| Some(&c.name) == named.as_ref());
-                    match known.filter(|k| *k != at) {
-                        Some(k) => {
-                            at = k;
-                            Duration::from_millis(self.rng.borrow_mut().u64(0..500))
-                        }
-                        None => {
-                            at = (at + 1) % self.controllers.len();
-                            NEXT_NODE
-                        }
-                    }
+                    let (next, wait) = self.elsewhere(at, &body);
+                    at = next;
+                    wait
                 }
                 _ => {
                     at = (at + 1) % self.controllers.len();
@@ -283,6 +381,30 @@
         }
     }
 
+    /// Where a worker that was sent away from controller `at` goes, and when.
+    fn elsewhere(&self, at: usize, body: &[u8]) -> (usize, Duration) {
+        let named = http::decode::<Elsewhere>(body).unwrap_or_default().answer_to;
+        let known = self.controllers.iter().position(|c| Some(&c.name) == named.as_ref());
+        match known.filter(|k| *k != at) {
+            Some(k) => (k, Duration::from_millis(self.rng.borrow_mut().u64(0..500))),
+            None => ((at + 1) % self.controllers.len(), NEXT_NODE),
+        }
+    }
+
+    fn count_answer(&self, answer: &Result<(u16, Vec<u8>), http::Error>) {
+        self.passed(|t| {
+            match answer {
+                Ok((200, _)) => t.answered += 1,
+                Ok((421, _)) => t.redirected += 1,
+                _ => t.failed += 1,
+            }
+            if let Ok((status, body)) = answer {
+                let r = Response { status: *status, body: body.clone(), retry_after: None, seldom: false };
+                t.answer_bytes += (http::response_head(&r, false).len() + body.len()) as u64;
+            }
+        });
+    }
+
     /// Probes the controllers.
     pub async fn probe(self: Rc<Self>, i: usize) {
         let client = Client::new(1);
--- a/packages/emulator/src/state.rs
+++ b/packages/emulator/src/state.rs
@@ -117,6 +117,8 @@
     pub requests: u64,
     /// Requests refused for their rate.
     pub refused: u64,
+    /// Puts and deletes that were carried out.
+    pub changes_made: u64,
 }
 
 #[derive(Serialize)]
@@ -198,6 +200,7 @@
             out_since: None,
             requests: 0,
             refused: 0,
+            changes_made: 0,
         }
     }
 
@@ -299,6 +302,7 @@
             return Response::new(409, &Failed { failed, epoch: self.epoch });
         }
         self.epoch += u64::from(!writes.is_empty());
+        self.changes_made += writes.len() as u64;
         for (key, set) in writes {
             match set {
                 Some((data, hold)) => {
--- a/packages/emulator/src/up.rs
+++ b/packages/emulator/src/up.rs
@@ -22,6 +22,7 @@
 use crate::cloud::{self, Cloud};
 use crate::faults::{self, Fault, Planned};
 use crate::serve::{Controller, World};
+use crate::settings::{Cluster, NodePlace, Team, WorkerTimes};
 use crate::state::{Limits, State};
 use crate::yard::{self, Yard};
 
@@ -37,6 +38,8 @@
 /// What the cloud allows.
 const CLOUD_RPS: f64 = 10.0;
 const LIST_LAG_S: f64 = 2.0;
+/// Memory of a controller, as its settings say.
+const MEMORY_MB: f64 = 136.0;
 /// A controller that ended is started again after this.
 const RESTART: Duration = Duration::from_secs(2);
 /// Within this the cluster has to be ready.
@@ -246,8 +249,8 @@
     }
 }
 
-/// What the settings say of limits that come later.
-fn next(plan: &VecDeque<Planned>, size: &Size) -> String {
+/// The least that the service allows now or after a fault.
+fn least(plan: &VecDeque<Planned>, size: &Size) -> Limits {
     let mut limits = size.limits();
     for p in plan.iter().filter(|p| matches!(p.fault, Fault::StateLimits { .. })) {
         let mut l = limits;
@@ -256,41 +259,36 @@
         limits.value_kb = limits.value_kb.min(l.value_kb);
         limits.txn_ops = limits.txn_ops.min(l.txn_ops);
     }
-    let Limits { write_rps, value_kb, txn_ops, .. } = limits;
-    format!("[deployment.state.next]\nwrite_rps = {write_rps:?}\nvalue_kb = {value_kb:?}\ntxn_ops = {txn_ops}\n\n")
+    limits
 }
 
-/// The settings file of controller `i`.
-fn settings(
-    i: usize,
-    binds: &[(SocketAddr, SocketAddr)],
-    state: SocketAddr,
-    cloud: SocketAddr,
-    size: &Size,
-    next: &str,
-) -> String {
-    let siblings: String = (0..binds.len())
-        .filter(|j| *j != i)
-        .map(|j| {
-            format!("[[siblings]]\nhost_name = \"node-{j}\"\ndomain = \"{}\"\naddr = \"{}\"\n\n", ZONES[j], binds[j].1)
-        })
-        .collect();
-    let Limits { rps, write_rps, value_kb, txn_ops } = size.limits();
-    let Size { sockets, cores, .. } = size;
-    format!(
-        "host_name = \"node-{i}\"\ndomain = \"{}\"\nbind = \"{}\"\npeer_bind = \"{}\"\n\n{siblings}\
-         [services]\ncloud = \"{cloud}\"\nstate = \"{state}\"\n\n\
-         [deployment]\nsize = {}\nzones = {ZONES:?}\n\n[[deployment.teams]]\nname = \"demo\"\n\n\
-         [deployment.workers]\nreport_s = {REPORT_S:?}\nlease_s = {LEASE_S:?}\ngang_wait_s = {GANG_WAIT_S:?}\n\
-         gang_peer_s = {GANG_PEER_S:?}\ncancel_s = {CANCEL_S:?}\n\n\
-         [deployment.state]\nrps = {rps:?}\nwrite_rps = {write_rps:?}\nvalue_kb = {value_kb:?}\ntxn_ops = {txn_ops}\n\n{next}\
-         [deployment.cloud]\nrps = {CLOUD_RPS:?}\nlist_lag_s = {LIST_LAG_S:?}\n\n\
-         [deployment.quota]\ncores = {cores:?}\nram_mb = 136.0\nfd_limit = {sockets}\n",
-        ZONES[i],
-        binds[i].0,
-        binds[i].1,
-        binds.len(),
-    )
+/// What the controllers are told.
+fn cluster(binds: &[(SocketAddr, SocketAddr)], plan: &VecDeque<Planned>, size: &Size) -> Cluster {
+    let node = |(i, (bind, peer_bind)): (usize, &(SocketAddr, SocketAddr))| NodePlace {
+        name: format!("node-{i}"),
+        zone: ZONES[i].into(),
+        bind: *bind,
+        peer_bind: *peer_bind,
+    };
+    Cluster {
+        nodes: binds.iter().enumerate().map(node).collect(),
+        zones: ZONES.map(Into::into).to_vec(),
+        teams: vec![Team { name: "demo".into(), cpus: 0.0, cpus_max: 0.0 }],
+        workers: WorkerTimes {
+            report_s: REPORT_S,
+            lease_s: LEASE_S,
+            gang_wait_s: GANG_WAIT_S,
+            gang_peer_s: GANG_PEER_S,
+            cancel_s: CANCEL_S,
+        },
+        state: size.limits(),
+        state_next: least(plan, size),
+        cloud_rps: CLOUD_RPS,
+        list_lag_s: LIST_LAG_S,
+        cores: size.cores,
+        memory_mb: MEMORY_MB,
+        sockets: size.sockets,
+    }
 }
 
 /// An address that is free now.
@@ -299,7 +297,8 @@
     tried("a free port", bound)
 }
 
-fn program(given: Option<&Path>) -> Result<PathBuf, Error> {
+/// The controller program, if it is there.
+pub(crate) fn program(given: Option<&Path>) -> Result<PathBuf, Error> {
     let beside = || std::env::current_exe().ok().map(|p| p.with_file_name("coralnotch"));
     let path = given.map(Path::to_owned).or_else(beside).unwrap_or_else(|| "coralnotch".into());
     match path.is_file() {
@@ -457,12 +456,10 @@
         for _ in ZONES {
             binds.push((free()?, free()?));
         }
+        let cluster = cluster(&binds, &plan, &options.size);
         for (i, on) in states.iter().enumerate() {
             let file = dir.join(format!("node-{i}.toml"));
-            tried(
-                file.display().to_string(),
-                fs::write(&file, settings(i, &binds, addr(on)?, cloud_at, &options.size, &next(&plan, &options.size))),
-            )?;
+            tried(file.display().to_string(), fs::write(&file, cluster.file(i, addr(on)?, cloud_at)))?;
         }
         let mut rng = Rng::with_seed(options.seed);
         let cloud = Cloud::new(cloud::Settings {
--- a/packages/emulator/src/yard.rs
+++ b/packages/emulator/src/yard.rs
@@ -4,6 +4,7 @@
 //! can be seen from where tasks run.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use coralnotch_wire::model::{MachineType, Name, Shape, Size, Spec, Task};
@@ -65,7 +66,11 @@
     /// When the cloud takes it.
     pub taken: Option<Instant>,
     /// Something changed that is worth a report.
-    pub changed: bool,
+    changed: bool,
+    /// Nothing on it changes by itself before this.
+    due: Instant,
+    /// It has tasks of gangs: what these do hangs on other machines.
+    gangs: bool,
     session: u64,
     tally: u64,
     token: u64,
@@ -89,7 +94,13 @@
 pub struct Yard {
     settings: Settings,
     machines: BTreeMap<Name, Machine>,
-    specs: HashMap<Name, Spec>,
+    /// The machines that list a task, in any state.
+    holders: HashMap<Task, Vec<Name>>,
+    /// Machines with something to report since this was last asked for.
+    changed: Vec<Name>,
+    specs: HashMap<Name, Arc<Spec>>,
+    /// Jobs whose start is timed, with how many of their tasks have yet to start.
+    timed: HashMap<Name, u32>,
     /// Completed tasks of each job; their results are kept.
     done: HashMap<Name, BTreeSet<u32>>,
     /// When the last task of a job completed.
@@ -105,19 +116,34 @@
     pub started: u64,
     /// Tasks killed by the lease of their worker.
     pub killed: u64,
+    /// When all tasks of a timed job had begun to run.
+    pub begun: Vec<(Name, Instant)>,
 }
 
 fn seconds(s: f64) -> Duration {
     Duration::from_secs_f64(s.clamp(0.0, 1e9))
 }
 
+/// A machine does not list a task any more.
+fn release(holders: &mut HashMap<Task, Vec<Name>>, task: &Task, machine: &str) {
+    if let Some(list) = holders.get_mut(task) {
+        list.retain(|n| **n != *machine);
+        if list.is_empty() {
+            holders.remove(task);
+        }
+    }
+}
+
 impl Yard {
     /// An empty yard.
     pub fn new(settings: Settings, pace: f64, rng: Rng) -> Yard {
         Yard {
             settings,
             machines: BTreeMap::new(),
+            holders: HashMap::new(),
+            changed: Vec::new(),
             specs: HashMap::new(),
+            timed: HashMap::new(),
             done: HashMap::new(),
             completed: HashMap::new(),
             saved: HashMap::new(),
@@ -126,12 +152,20 @@
             broken: Vec::new(),
             started: 0,
             killed: 0,
+            begun: Vec::new(),
         }
     }
 
     /// A user uploads a job's description; the first one stays.
     pub fn upload(&mut self, spec: Spec) {
-        self.specs.entry(spec.id.clone()).or_insert(spec);
+        self.specs.entry(spec.id.clone()).or_insert_with(|| Arc::new(spec));
+    }
+
+    /// The start of a job that was uploaded is to be timed.
+    pub fn time_start(&mut self, job: &Name) {
+        if let Some(spec) = self.specs.get(job) {
+            self.timed.insert(job.clone(), spec.tasks);
+        }
     }
 
     /// How many tasks of a job are done.
@@ -144,14 +178,42 @@
         &self.completed
     }
 
+    /// Tasks that run, and those of services among them.
+    pub fn running(&self) -> (u64, u64) {
+        let (mut all, mut replicas) = (0, 0);
+        for (task, held) in self.machines.values().flat_map(|m| &m.tasks) {
+            if !matches!(held.work, Work::Running { .. }) {
+                continue;
+            }
+            all += 1;
+            let service = self.specs.get(&task.job).is_some_and(|s| s.shape == Shape::Service);
+            replicas += u64::from(service);
+        }
+        (all, replicas)
+    }
+
     /// The machines.
     pub fn machines(&self) -> &BTreeMap<Name, Machine> {
         &self.machines
     }
 
-    /// A machine, to be changed.
-    pub fn machine(&mut self, name: &str) -> Option<&mut Machine> {
-        self.machines.get_mut(name)
+    /// The cloud takes a machine back at that time.
+    pub fn notice(&mut self, name: &str, at: Instant) {
+        if let Some(m) = self.machines.get_mut(name) {
+            m.taken = Some(at);
+            m.changed = true;
+            self.changed.push(name.into());
+        }
+    }
+
+    /// The machines with something to report since the last call, some of them more than once.
+    pub fn take_changed(&mut self) -> Vec<Name> {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// Whether a machine has something to report.
+    pub fn has_changed(&self, name: &str) -> bool {
+        self.machines.get(name).is_some_and(|m| m.changed)
     }
 
     /// A machine is up.
@@ -163,6 +225,8 @@
             address,
             taken: None,
             changed: true,
+            due: now,
+            gangs: false,
             session: 1,
             tally: 0,
             token: 0,
@@ -176,7 +240,10 @@
 
     /// A machine and all on it is gone.
     pub fn gone(&mut self, name: &str) {
-        self.machines.remove(name);
+        let Some(m) = self.machines.remove(name) else { return };
+        for task in m.tasks.keys() {
+            release(&mut self.holders, task, name);
+        }
     }
 
     /// A machine's report; `None` if there is no such machine.
@@ -216,10 +283,16 @@
         if sent.session != m.session || answer.token < m.token {
             return;
         }
-        m.changed |= answer.token > m.token;
+        let raised = answer.token > m.token;
+        m.changed |= raised;
         m.token = answer.token;
         m.renewed = sent.at;
-        self.execute(name, answer.orders, now);
+        if raised {
+            self.changed.push(name.into());
+        }
+        if !answer.orders.is_empty() {
+            self.execute(name, answer.orders, now);
+        }
     }
 
     /// A direct command; whether it was executed.
@@ -243,18 +316,22 @@
                     if m.tasks.get(&task).is_some_and(|h| h.attempt == attempt && matches!(h.work, Work::Ended { .. }))
                     {
                         m.tasks.remove(&task);
+                        release(&mut self.holders, &task, name);
                     }
                 }
             }
         }
         if let Some(m) = self.machines.get_mut(name) {
             m.changed = true;
+            m.due = now;
+            self.changed.push(name.into());
         }
     }
 
     fn run(&mut self, name: &str, task: Task, attempt: u64, now: Instant) {
         let spec = self.specs.get(&task.job).filter(|s| task.index < s.tasks).cloned();
         let Some(m) = self.machines.get_mut(name) else { return };
+        m.gangs |= spec.as_ref().is_some_and(|s| s.shape == Shape::Gang);
         let mut used = Size::default();
         for (t, _) in m.tasks.iter().filter(|(_, h)| !matches!(h.work, Work::Ended { .. })) {
             if let Some(s) = self.specs.get(&t.job) {
@@ -285,6 +362,7 @@
                 }
             }
         }
+        self.holders.entry(task.clone()).or_default().push(name.into());
         m.tasks.insert(task, held);
     }
 
@@ -328,46 +406,95 @@
 
     /// Time passes: leases end, images arrive, gangs meet, tasks complete.
     pub fn step(&mut self, now: Instant) {
+        self.end_leases(now);
+        let mates = self.mates();
+        let due = |(name, m): (&Name, &Machine)| (m.gangs || m.due <= now).then(|| name.clone());
+        for name in self.machines.iter().filter_map(due).collect::<Vec<_>>() {
+            self.step_machine(&name, &mates, now);
+        }
+    }
+
+    /// Workers whose lease is over kill their tasks and begin a session.
+    fn end_leases(&mut self, now: Instant) {
         let lease = seconds(self.settings.lease_s);
-        for m in self.machines.values_mut() {
-            if now.saturating_duration_since(m.renewed) > lease {
-                self.killed += m.tasks.values().filter(|h| !matches!(h.work, Work::Ended { .. })).count() as u64;
-                m.tasks.clear();
-                m.session += 1;
-                m.renewed = now;
-                m.changed = true;
+        for (name, m) in &mut self.machines {
+            if now.saturating_duration_since(m.renewed) <= lease {
+                continue;
+            }
+            self.killed += m.tasks.values().filter(|h| !matches!(h.work, Work::Ended { .. })).count() as u64;
+            for task in m.tasks.keys() {
+                release(&mut self.holders, task, name);
             }
+            m.tasks.clear();
+            m.session += 1;
+            m.renewed = now;
+            m.changed = true;
+            self.changed.push(name.clone());
         }
-        // gangs: where their tasks are, by attempt
+    }
+
+    /// Of each attempt of a gang: how many of its tasks wait for the others, and how many are
+    /// past that.
+    fn mates(&self) -> HashMap<(Name, u64), (u32, u32)> {
         let mut mates: HashMap<(Name, u64), (u32, u32)> = HashMap::new();
-        for m in self.machines.values() {
-            for (t, h) in &m.tasks {
-                let c = mates.entry((t.job.clone(), h.attempt)).or_default();
-                match h.work {
-                    Work::Gathering { .. } => c.0 += 1,
-                    Work::Running { .. } | Work::Flushing { .. } => c.1 += 1,
-                    Work::Ended { cause: Cause::Done, .. } | Work::Ended { saved: Some(true), .. } => c.1 += 1,
-                    _ => {}
-                }
+        for (t, h) in self.machines.values().filter(|m| m.gangs).flat_map(|m| &m.tasks) {
+            let c = mates.entry((t.job.clone(), h.attempt)).or_default();
+            match h.work {
+                Work::Gathering { .. } => c.0 += 1,
+                Work::Running { .. } | Work::Flushing { .. } => c.1 += 1,
+                Work::Ended { cause: Cause::Done, .. } | Work::Ended { saved: Some(true), .. } => c.1 += 1,
+                _ => {}
             }
         }
-        let names: Vec<Name> = self.machines.keys().cloned().collect();
-        for name in names {
-            let Some(m) = self.machines.get(&name) else { continue };
-            let tasks: Vec<(Task, Held)> = m.tasks.iter().map(|(t, h)| (t.clone(), h.clone())).collect();
-            for (task, held) in tasks {
-                let Some(spec) = self.specs.get(&task.job).cloned() else { continue };
-                let gang = spec.shape == Shape::Gang;
-                let (gathered, going) = mates.get(&(task.job.clone(), held.attempt)).copied().unwrap_or_default();
-                let next = self.next(&name, &task, &spec, held.work, gang.then_some((gathered, going)), now);
-                if next != held.work {
-                    if let Some(m) = self.machines.get_mut(&name) {
-                        m.changed = true;
-                        m.tasks.insert(task, Held { attempt: held.attempt, work: next });
-                    }
+        mates
+    }
+
+    fn step_machine(&mut self, name: &Name, mates: &HashMap<(Name, u64), (u32, u32)>, now: Instant) {
+        let Some(m) = self.machines.get(name) else { return };
+        let tasks: Vec<(Task, Held)> = m.tasks.iter().map(|(t, h)| (t.clone(), h.clone())).collect();
+        let mut changed = false;
+        for (task, held) in tasks {
+            let Some(spec) = self.specs.get(&task.job).cloned() else { continue };
+            let gang = spec.shape == Shape::Gang;
+            let (gathered, going) = mates.get(&(task.job.clone(), held.attempt)).copied().unwrap_or_default();
+            let next = self.next(name, &task, &spec, held.work, gang.then_some((gathered, going)), now);
+            if next != held.work {
+                if let Some(m) = self.machines.get_mut(name) {
+                    changed = true;
+                    m.tasks.insert(task, Held { attempt: held.attempt, work: next });
                 }
             }
         }
+        let (due, gangs) = self.schedule(name, now);
+        let Some(m) = self.machines.get_mut(name) else { return };
+        (m.due, m.gangs) = (due, gangs);
+        if changed {
+            m.changed = true;
+            self.changed.push(name.clone());
+        }
+    }
+
+    /// When something on a machine next changes by itself, and whether it has tasks of gangs.
+    fn schedule(&self, name: &Name, now: Instant) -> (Instant, bool) {
+        let mut due = now + seconds(self.settings.lease_s);
+        let mut gangs = false;
+        let Some(m) = self.machines.get(name) else { return (due, gangs) };
+        for (task, held) in &m.tasks {
+            let Some(spec) = self.specs.get(&task.job) else { continue };
+            gangs |= spec.shape == Shape::Gang;
+            let at = match held.work {
+                Work::Pulling => m.images.iter().find(|i| i.0 == spec.image).map(|i| i.2),
+                Work::Running { .. } if spec.shape == Shape::Service => None,
+                Work::Running { since } => {
+                    let left = spec.estimate_s - self.saved.get(&Self::unit(task, spec)).copied().unwrap_or(0.0);
+                    Some(since + seconds(left * self.pace / m.speed))
+                }
+                Work::Alone { until } | Work::Flushing { until, .. } => Some(until),
+                Work::Gathering { .. } | Work::Ended { .. } => None,
+            };
+            due = at.map_or(due, |t| due.min(t));
+        }
+        (due, gangs)
     }
 
     fn next(
@@ -396,14 +523,14 @@
                 } else if gang.is_some() {
                     Work::Gathering { since: now }
                 } else {
-                    self.started += 1;
+                    self.begins(&task.job, now);
                     Work::Running { since: now }
                 }
             }
             Work::Gathering { since } => {
                 let (gathered, going) = gang.unwrap_or_default();
                 if gathered + going >= spec.tasks {
-                    self.started += 1;
+                    self.begins(&task.job, now);
                     Work::Running { since: now }
                 } else if now.saturating_duration_since(since) > seconds(self.settings.gang_wait_s) {
                     ended(Cause::Alone, None)
@@ -448,12 +575,26 @@
         }
     }
 
+    /// A task of a job begins to run.
+    fn begins(&mut self, job: &Name, now: Instant) {
+        self.started += 1;
+        let Some(left) = self.timed.get_mut(job) else { return };
+        *left -= 1;
+        if *left == 0 {
+            self.timed.remove(job);
+            self.begun.push((job.clone(), now));
+        }
+    }
+
     /// What the rules say of a start: one machine a task, and where it may be.
     fn check(&mut self, name: &Name, task: &Task, spec: &Spec) {
         let Some(m) = self.machines.get(name) else { return };
-        let here =
-            |o: &Machine| o.tasks.get(task).is_some_and(|h| !matches!(h.work, Work::Ended { .. } | Work::Pulling));
-        for (other, _) in self.machines.iter().filter(|(n, o)| *n != name && here(o)) {
+        let holds = |n: &&Name| {
+            let held = self.machines.get(*n).and_then(|o| o.tasks.get(task));
+            held.is_some_and(|h| !matches!(h.work, Work::Ended { .. } | Work::Pulling))
+        };
+        let holders = self.holders.get(task).into_iter().flatten();
+        for other in holders.filter(|n| *n != name).filter(holds) {
             self.broken.push(format!("ran_twice: {task} starts on {name} while it is on {other}"));
         }
         let right = spec.types.as_ref().is_none_or(|t| t.contains(&m.kind.name))
--- a/packages/wire/src/http/client.rs
+++ b/packages/wire/src/http/client.rs
@@ -26,6 +26,13 @@
     }
 }
 
+/// The head of a request as this client sends it.
+pub fn request_head(addr: SocketAddr, method: &str, target: &str, body: usize) -> String {
+    format!(
+        "{method} {target} HTTP/1.1\r\nHost: {addr}\r\nContent-Type: application/msgpack\r\nContent-Length: {body}\r\n\r\n"
+    )
+}
+
 impl Client {
     /// A client that keeps at most so many idle connections in all.
     pub fn new(most: usize) -> Client {
@@ -84,9 +91,7 @@
     ) -> Result<Answer, Error> {
         let body = body.unwrap_or_default();
         let mut out = Vec::with_capacity(160 + body.len());
-        out.extend_from_slice(
-            format!("{method} {target} HTTP/1.1\r\nHost: {addr}\r\nContent-Type: application/msgpack\r\nContent-Length: {}\r\n\r\n", body.len()).as_bytes(),
-        );
+        out.extend_from_slice(request_head(addr, method, target, body.len()).as_bytes());
         out.extend_from_slice(body);
         let result = within(limit, async {
             let mut s = match self.take(addr) {
--- a/packages/wire/src/http/mod.rs
+++ b/packages/wire/src/http/mod.rs
@@ -6,8 +6,8 @@
 mod conn;
 mod server;
 
-pub use client::Client;
-pub use server::{serve, ServerLimits};
+pub use client::{request_head, Client};
+pub use server::{response_head, serve, ServerLimits};
 
 use std::future::Future;
 use std::time::Duration;
--- a/packages/wire/src/http/server.rs
+++ b/packages/wire/src/http/server.rs
@@ -11,24 +11,27 @@
 use super::conn::{Conn, Deadlines};
 use super::{fill, fill_to, parse_request, reason, Error, Request, Response, BODY_LIMIT, CHUNK};
 
-async fn send_response(s: &mut Conn, r: &Response, close: bool) -> Result<(), Error> {
-    let mut out = Vec::with_capacity(160 + r.body.len());
-    out.extend_from_slice(
-        format!(
-            "HTTP/1.1 {} {}\r\nContent-Type: application/msgpack\r\nContent-Length: {}\r\n",
-            r.status,
-            reason(r.status),
-            r.body.len()
-        )
-        .as_bytes(),
+/// The head of an answer as this server sends it.
+pub fn response_head(r: &Response, close: bool) -> String {
+    let mut head = format!(
+        "HTTP/1.1 {} {}\r\nContent-Type: application/msgpack\r\nContent-Length: {}\r\n",
+        r.status,
+        reason(r.status),
+        r.body.len()
     );
     if let Some(s) = r.retry_after {
-        out.extend_from_slice(format!("Retry-After: {s}\r\n").as_bytes());
+        head += &format!("Retry-After: {s}\r\n");
     }
     if close {
-        out.extend_from_slice(b"Connection: close\r\n");
+        head += "Connection: close\r\n";
     }
-    out.extend_from_slice(b"\r\n");
+    head += "\r\n";
+    head
+}
+
+async fn send_response(s: &mut Conn, r: &Response, close: bool) -> Result<(), Error> {
+    let mut out = Vec::with_capacity(160 + r.body.len());
+    out.extend_from_slice(response_head(r, close).as_bytes());
     out.extend_from_slice(&r.body);
     s.write_all(&out).await?;
     Ok(())
