--- a/packages/emulator/src/lib.rs
+++ b/packages/emulator/src/lib.rs
@@ -5,6 +5,7 @@
 //! Knows the protocol and nothing of how a controller decides.
 
 pub mod balancer;
+pub mod capacity;
 pub mod cloud;
 pub mod faults;
 pub mod history;
--- a/packages/emulator/src/main.rs
+++ b/packages/emulator/src/main.rs
@@ -5,6 +5,7 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
+use coralnotch_emulator::capacity;
 use coralnotch_emulator::load::{self, Scenario};
 use coralnotch_emulator::page;
 use coralnotch_emulator::scale;
@@ -34,6 +35,8 @@
     },
     /// Play parts of a large target: regions of controllers among hollow workers.
     Scale(scale::Options),
+    /// Make the capacity page from results.
+    Capacity(capacity::Options),
     /// A process of a scale run.
     #[command(hide = true)]
     ScaleRole {
@@ -76,6 +79,7 @@
         Command::Load { scenario, report, controller } => load(scenario, report, controller.clone()),
         Command::Compare { reports, page } => compare(reports, page.as_deref()),
         Command::Scale(options) => scale::run(options, &stopped).map(drop),
+        Command::Capacity(options) => capacity::run(options),
         Command::ScaleRole { .. } => Ok(()),
     };
     ended(done)
