Reports by way of all controllers: the others forward them, the leader answers

Cause: the leader alone received reports.

Change: above spread_from machines (gate reports) a controller that does not lead forwards reports in batches, one without news as five numbers, and hands out the leader's answers; the leader sends workers to controllers that have lately reached it, by rendezvous hashing. No new authority: the leader checks its own as it answers.

--- a/packages/core/src/cluster/machine.rs
+++ b/packages/core/src/cluster/machine.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
-use super::{Place, Stage};
+use super::{Phase, Place, Stage};
 use crate::model::*;
 use crate::policy::Policy;
 
@@ -79,6 +79,18 @@
 }
 
 impl Machine {
+    /// Whether nothing is to be told to its worker, and nothing is awaited from it: all that is
+    /// on it was listed by its last report and is to go on.
+    pub fn quiet(&self) -> bool {
+        let settled = |p: &Place| {
+            let listed = matches!(p.phase, Phase::Pulling | Phase::Gathering | Phase::Running);
+            listed && p.stored && p.fenced && !p.former && p.halt.is_none()
+        };
+        let open = self.gone.is_some() || self.deleting.is_some() || self.notice.is_some();
+        let awaited = self.doubt.is_some() || self.flying || !self.exited.is_empty();
+        !open && !awaited && self.tasks.values().all(settled)
+    }
+
     /// A machine of which little is known.
     pub fn new(name: Name, kind: Name, zone: Name, spot: bool, now: Instant) -> Machine {
         Machine {
--- a/packages/core/src/gate.rs
+++ b/packages/core/src/gate.rs
@@ -17,8 +17,11 @@
 /// raises the tokens of its zone's workers.
 pub const TOLD: &str = "told";
 
+/// Controllers that do not lead forward workers' reports.
+pub const REPORTS: &str = "reports";
+
 /// The features that this version has.
-pub const KNOWN: &[&str] = &[CHAINS, TOLD];
+pub const KNOWN: &[&str] = &[CHAINS, TOLD, REPORTS];
 
 /// The stored record of what is on.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/packages/core/src/lib.rs
+++ b/packages/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod ledger;
 pub mod lookup;
 pub mod placement;
+pub mod reporting;
 #[cfg(test)]
 mod sim;
 pub mod workers;
--- a/packages/core/src/sim/controllers.rs
+++ b/packages/core/src/sim/controllers.rs
@@ -314,6 +314,16 @@
                     self.begins(to, s, stamp);
                 }
             }
+            Message::Forwarded { by, term, to, message, report, number } => {
+                self.takes_forwarded(by, term, to, message, report, number);
+            }
+            Message::Taken { by, term, report, whole } => match whole {
+                true => self.forwarding[by].taken(report, term, now),
+                false => self.forwarding[by].forget(&report.machine),
+            },
+            Message::Report { to, report, number } if self.forwards_from(to) => {
+                self.forward(to, report, number);
+            }
             Message::Report { to, mut report, number } => {
                 let t = self.now;
                 if number != NOBODY && self.for_next.len() < 40 && self.rng.u32(0..20) == 0 {
@@ -482,6 +492,63 @@
         }
     }
 
+    /// Whether a report that comes to a controller goes on to the leader.
+    fn forwards_from(&self, i: usize) -> bool {
+        let leads = self.controllers[i].as_ref().is_some_and(|c| self.now < c.until);
+        let up = self.now >= self.down_until[i] && self.now >= self.deaf[i];
+        self.forwards && up && !leads && self.now >= self.apart[i]
+    }
+
+    /// Sends a report on to whoever leads by what is known there, which may be old.
+    fn forward(&mut self, by: usize, report: Report, number: u64) {
+        let believes = |c: &Option<Controller>| c.as_ref().is_some_and(|c| self.now < c.until);
+        let leaders: Vec<usize> = (0..3).filter(|i| *i != by && believes(&self.controllers[*i])).collect();
+        if leaders.is_empty() {
+            return;
+        }
+        let to = leaders[self.rng.usize(0..leaders.len())];
+        if self.now < self.apart[to] {
+            return;
+        }
+        let Some(term) = self.controllers[to].as_ref().map(|c| c.cluster.term) else { return };
+        let message = self.forwarding[by].message(&report, term);
+        self.send(Message::Forwarded { by, term, to, message, report, number });
+    }
+
+    /// The leader takes a forwarded report, in full or as a sign of life.
+    fn takes_forwarded(&mut self, by: usize, term: u64, to: usize, message: Forwarded, report: Report, number: u64) {
+        let now = self.at(self.now);
+        let whole = self.whole(to);
+        let leads = may_lead(whole, &self.policy, now);
+        let careless = self.sabotage == Sabotage::RepeatsAnything;
+        let acts = |c: &&mut Controller| self.now < c.until && c.cluster.term == term;
+        let Some(c) = self.controllers[to].as_mut().filter(acts).filter(|_| leads) else { return };
+        let answer = match &message {
+            Forwarded::Full => {
+                if c.cluster.report(&report, true, now).is_none() {
+                    return;
+                }
+                if c.cluster.stir {
+                    c.wants = c.cluster.place(now);
+                }
+                Some(c.cluster.answer(&report, now))
+            }
+            // taken for news, however late it comes
+            Forwarded::Unchanged(u) if careless => {
+                let last = c.cluster.machines.get(&u.machine).map_or(0, |m| m.tally);
+                let news = Report { tally: last + 1, ..report.clone() };
+                c.cluster.report(&news, true, now).map(|_| c.cluster.answer(&news, now))
+            }
+            Forwarded::Unchanged(u) => c.cluster.unchanged(u, now),
+        };
+        let Some(answer) = answer else {
+            return self.send(Message::Taken { by, term, report, whole: false });
+        };
+        self.repeated += u32::from(message != Forwarded::Full);
+        self.answers(&report, number, answer);
+        self.send(Message::Taken { by, term, report, whole: true });
+    }
+
     /// Direct commands without an answer are given up after a while.
     pub(super) fn gives_up(&mut self) {
         let late: Vec<(usize, u64, Direct)> = self
--- a/packages/core/src/sim/machines.rs
+++ b/packages/core/src/sim/machines.rs
@@ -224,7 +224,10 @@
                     continue; // it is lost, and given up
                 }
                 // several may believe that they lead: any of them may be asked
+                // ... and where reports are forwarded a worker mostly stays with one of them
+                let stays = self.forwards && self.rng.u32(0..8) > 0;
                 let to = match self.rng.u32(0..8) {
+                    _ if stays => i / 3 % 3,
                     0 => self.rng.usize(0..3),
                     _ => to.unwrap_or(0),
                 };
--- a/packages/core/src/sim/mod.rs
+++ b/packages/core/src/sim/mod.rs
@@ -23,6 +23,7 @@
 use crate::key;
 use crate::model::*;
 use crate::policy::Policy;
+use crate::reporting::{Forwarded, Forwarding};
 use crate::workers::*;
 use controllers::{Controller, Standing};
 use coralnotch_wire::state::{read_value, Item, Txn, Write};
@@ -116,6 +117,8 @@
     /// Whoever does not know a job says that nothing is left of it, though it does not
     /// lead, or has not read what is on record.
     ClearUnread,
+    /// A report that repeats an earlier one counts as news, whatever came in between.
+    RepeatsAnything,
     /// A controller that stood still trusts the authority it had before, and
     /// its writes are not guarded on the leader key.
     OldAuthority,
@@ -123,17 +126,86 @@
 
 #[derive(Clone)]
 enum Message {
-    Elect { from: usize, life: u64, number: u64, hold: u64, term: u64, txn: Txn },
-    Elected { to: usize, life: u64, number: u64, outcome: Option<u64> },
-    Report { to: usize, report: Report, number: u64 },
-    Answer { machine: usize, number: u64, session: u64, answer: Answer },
-    Direct { from: usize, life: u64, call: Direct },
-    DirectAnswer { to: usize, life: u64, call: Direct, report: Option<Report> },
-    Txn { from: usize, life: u64, number: u64, txn: Txn, at: Ms },
-    TxnAnswer { to: usize, life: u64, number: u64, outcome: Option<Result<u64, Vec<String>>> },
-    Job { to: usize, spec: Arc<Spec>, stamp: u64 },
-    Delete { names: Vec<Name>, from: usize, life: u64 },
-    Deleted { names: Vec<Name>, to: usize, life: u64 },
+    Elect {
+        from: usize,
+        life: u64,
+        number: u64,
+        hold: u64,
+        term: u64,
+        txn: Txn,
+    },
+    Elected {
+        to: usize,
+        life: u64,
+        number: u64,
+        outcome: Option<u64>,
+    },
+    Report {
+        to: usize,
+        report: Report,
+        number: u64,
+    },
+    /// A report by way of a controller that does not lead.
+    Forwarded {
+        by: usize,
+        term: u64,
+        to: usize,
+        message: Forwarded,
+        report: Report,
+        number: u64,
+    },
+    /// The leader took a report that was forwarded, or wants it in full.
+    Taken {
+        by: usize,
+        term: u64,
+        report: Report,
+        whole: bool,
+    },
+    Answer {
+        machine: usize,
+        number: u64,
+        session: u64,
+        answer: Answer,
+    },
+    Direct {
+        from: usize,
+        life: u64,
+        call: Direct,
+    },
+    DirectAnswer {
+        to: usize,
+        life: u64,
+        call: Direct,
+        report: Option<Report>,
+    },
+    Txn {
+        from: usize,
+        life: u64,
+        number: u64,
+        txn: Txn,
+        at: Ms,
+    },
+    TxnAnswer {
+        to: usize,
+        life: u64,
+        number: u64,
+        outcome: Option<Result<u64, Vec<String>>>,
+    },
+    Job {
+        to: usize,
+        spec: Arc<Spec>,
+        stamp: u64,
+    },
+    Delete {
+        names: Vec<Name>,
+        from: usize,
+        life: u64,
+    },
+    Deleted {
+        names: Vec<Name>,
+        to: usize,
+        life: u64,
+    },
 }
 
 impl Message {
@@ -144,6 +216,7 @@
             | Message::Direct { from, .. }
             | Message::Txn { from, .. }
             | Message::Delete { from, .. } => Some(*from),
+            Message::Forwarded { by, .. } => Some(*by),
             _ => None,
         }
     }
@@ -156,7 +229,7 @@
             | Message::Direct { life, .. }
             | Message::Txn { life, .. }
             | Message::Delete { life, .. } => *life = NOBODY,
-            Message::Report { number, .. } => *number = NOBODY,
+            Message::Report { number, .. } | Message::Forwarded { number, .. } => *number = NOBODY,
             _ => return None,
         }
         Some(m)
@@ -166,6 +239,8 @@
     fn receiver(&self) -> Option<usize> {
         match self {
             Message::Report { to, .. }
+            | Message::Forwarded { to, .. }
+            | Message::Taken { by: to, .. }
             | Message::Elected { to, .. }
             | Message::DirectAnswer { to, .. }
             | Message::TxnAnswer { to, .. }
@@ -223,6 +298,11 @@
     apart: [Ms; 3],
     /// What each process knows of ends, leader or not.
     pictures: [Picture; 3],
+    /// Reports reach the leader by way of the others.
+    forwards: bool,
+    /// What each controller has had the leader take, and how many reports were short.
+    forwarding: [Forwarding; 3],
+    repeated: u32,
     /// Until when each controller stands still while its clocks run on: what
     /// is sent to it waits, and what it was about to send leaves as it wakes.
     frozen: [Ms; 3],
@@ -310,6 +390,9 @@
             no_cloud: 0,
             apart: [0; 3],
             pictures: [Picture::new(1), Picture::new(2), Picture::new(3)],
+            forwards: seed % 3 == 2,
+            forwarding: Default::default(),
+            repeated: 0,
             frozen: [0; 3],
             freezes: None,
             deaf: [0; 3],
@@ -467,6 +550,7 @@
         self.frozen[i] = 0;
         self.lives += 1;
         self.pictures[i] = Picture::new(self.lives);
+        self.forwarding[i] = Forwarding::default();
     }
 
     fn trouble(&mut self) {
@@ -670,7 +754,7 @@
 
 #[test]
 fn the_rules_hold_through_troubles() {
-    let (mut done, mut chained, mut taken) = (0, 0, 0);
+    let (mut done, mut chained, mut taken, mut repeated) = (0, 0, 0, 0);
     for seed in 0..40 {
         let w = World::new(seed, Sabotage::None).run(280_000, 180_000);
         assert!(w.broken.is_empty(), "seed {seed} at {} ms: {:?}", w.now, w.broken);
@@ -678,10 +762,12 @@
         let through = || w.jobs.values().filter(|j| w.store.fate(&j.0.id) == Some(Fate::Done));
         done += through().count();
         taken += w.elections.1;
+        repeated += w.repeated;
         chained += through().filter(|j| !j.0.needs.is_empty()).count();
     }
     // the checker had something to check
     assert!(done > 250 && chained > 25, "only {done} jobs came through, {chained} of them had waited for others");
+    assert!(repeated > 300, "only {repeated} reports were forwarded without their content");
     assert!(taken > 20, "only {taken} controllers came back while they still led");
 }
 
@@ -745,6 +831,7 @@
         Sabotage::CallsUnlooked,
         Sabotage::TellsAtOnce,
         Sabotage::ClearUnread,
+        Sabotage::RepeatsAnything,
     ];
     // each on a thread of its own: some take hundreds of days
     let noticed = |s| (0..600).any(|seed| !World::new(seed, s).run(280_000, 180_000).broken.is_empty());
--- a/packages/core/src/workers.rs
+++ b/packages/core/src/workers.rs
@@ -12,6 +12,7 @@
 
 use crate::cluster::{Cluster, Machine, Phase, Place, Suspect, SUSPECT};
 use crate::model::*;
+use crate::reporting::Unchanged;
 pub use coralnotch_wire::workers::*;
 
 /// A direct command on its way to a worker.
@@ -149,6 +150,22 @@
         Some(true)
     }
 
+    /// A report that repeats the last one, and its answer; `None`: the whole report is needed.
+    ///
+    /// It is taken only if nothing came of this machine in between and nothing on it is open:
+    /// then all of the report would change nothing either.
+    pub fn unchanged(&mut self, u: &Unchanged, now: Instant) -> Option<Answer> {
+        let token = self.token_for(&u.machine);
+        let m = self.machines.get_mut(&u.machine)?;
+        let last = (m.session, m.tally) == (u.session, u.after) && u.tally > u.after;
+        if !last || m.heard.is_none() || !m.quiet() {
+            return None;
+        }
+        m.tally = u.tally;
+        m.heard = Some(now);
+        Some(Answer { token, orders: Vec::new() })
+    }
+
     /// Whether something on this machine is on its way into the store, a
     /// start or a completed task: the answer that waits for it saves the next
     /// task a report interval.
--- a/packages/policy/src/policy/mod.rs
+++ b/packages/policy/src/policy/mod.rs
@@ -172,6 +172,8 @@
     /// Most machines that are rented, as long as the leader has not learned how
     /// many it can listen to.
     most_machines: usize as usize, 1.0 ..= 100000000.0;
+    /// Above so many machines all controllers take reports and forward them to the leader.
+    spread_from: usize as usize, 1.0 ..= 100000000.0;
     /// Rentals that may be asked for at once.
     rentals_at_once: usize as usize, 1.0 ..= 1000.0;
     /// Direct commands that may be under way at once.
@@ -219,6 +221,10 @@
     direct_limit: Duration as Duration, 0.05 ..= 60.0;
     /// How long an answer to a report waits for the store.
     commit_wait: Duration as Duration, 0.0 ..= 3.0;
+    /// Reports that come within this are forwarded together.
+    batch_gap: Duration as Duration, 0.0 ..= 1.0;
+    /// A controller that does not lead watches the store anew after this.
+    watch_gap: Duration as Duration, 0.0 ..= 60.0;
     /// An image's fetch that takes a smaller share than this of the time
     /// within which a task should start is no reason for a dearer machine.
     image_share: f64 as f64, 0.0 ..= 1.0;
--- a/src/gates.rs
+++ b/src/gates.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use coralnotch_core::gate::{raised, Gates, Member, Shown, CHAINS, KNOWN, TOLD};
+use coralnotch_core::gate::{raised, Gates, Member, Shown, CHAINS, KNOWN, REPORTS, TOLD};
 
 use crate::authority::Authority;
 use crate::node::Node;
@@ -54,6 +54,10 @@
             tracing::info!("all controllers have {TOLD}: on since term {}", g.term);
             i.told_since = Some(now);
         }
+        if !i.reports_on && g.on.iter().any(|f| f == REPORTS) {
+            tracing::info!("all controllers have {REPORTS}: on since term {}", g.term);
+            i.reports_on = true;
+        }
         if !i.chains && g.on.iter().any(|f| f == CHAINS) {
             tracing::info!("all controllers have {CHAINS}: on since term {}", g.term);
             i.chains = true;
@@ -114,7 +118,7 @@
             let (already, stamp) = {
                 let i = self.lock();
                 // what is on stays on
-                ([(CHAINS, i.chains), (TOLD, i.told_since.is_some())], i.gates)
+                ([(CHAINS, i.chains), (TOLD, i.told_since.is_some()), (REPORTS, i.reports_on)], i.gates)
             };
             let is_on = |f: &str| already.contains(&(f, true));
             let on = {
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -22,7 +22,7 @@
 use crate::ledger::{Ended, Open, Standing};
 use crate::model::*;
 use crate::node::{Inner, Node};
-use crate::siblings::wire;
+use crate::siblings::{lock, wire};
 use crate::store::{key, read_value, Error, Outcome, Txn, Write};
 use crate::telemetry::{count, Timed};
 use crate::wait::timed;
@@ -34,12 +34,19 @@
     answer_to: Option<&'a str>,
 }
 
+/// Sends a worker to another controller.
+pub(crate) fn redirect(to: Option<&str>) -> Response {
+    Response::new(421, &Redirect { answer_to: to })
+}
+
 /// A user waits 5 s for a submission; an answer after this is none.
 const SUBMIT_LIMIT: Duration = Duration::from_millis(4000);
 /// How long an answer waits for the siblings to know of a withdrawal.
 const TELL_LIMIT: Duration = Duration::from_millis(1200);
 /// Needed jobs that one query reads; the rest is the next one's.
 const MOST_READ: usize = 64;
+/// Progress of jobs is told again for so long before it is counted anew.
+const PROGRESS_KEPT: Duration = Duration::from_secs(1);
 /// A user waits 2 s for a query.
 const QUERY_LIMIT: Duration = Duration::from_millis(1700);
 
@@ -141,7 +148,7 @@
     }
 
     /// A worker of a zone has reported here.
-    fn hears(&self, i: &mut Inner, zone: &str, now: Instant) {
+    pub(crate) fn hears(&self, i: &mut Inner, zone: &str, now: Instant) {
         i.heard = Some(now);
         if *zone != *self.config.zone {
             i.foreign = Some(now);
@@ -159,13 +166,19 @@
             return None;
         }
         let leader = i.leader.as_ref().filter(|l| l.record.name != self.config.name)?;
-        let answer = Response::new(421, &Redirect { answer_to: Some(&leader.record.name) });
+        let answer = redirect(Some(&leader.record.name));
         self.beat(&mut i, now);
         self.hears(&mut i, &origin.zone, now);
         Some(answer)
     }
 
     async fn hello(&self, body: &[u8]) -> Response {
+        if self.forwards(Instant::now()) {
+            // apart: few connections wait for the leader at once
+            if let Some(answer) = Box::pin(self.forward(body)).await {
+                return answer;
+            }
+        }
         if let Some(elsewhere) = self.sends_on(body) {
             return elsewhere;
         }
@@ -173,43 +186,58 @@
             Ok(r) => r,
             Err(e) => return Response::refuse(400, &e.to_string()),
         };
+        if let Some(elsewhere) = self.sends_out(&report.machine, &report.zone, Instant::now()) {
+            return elsewhere;
+        }
         count(&self.telemetry.counters.reports);
-        match self.take_in(&report) {
+        match self.take_in(&report, true) {
             Ok(false) => {}
-            // what the report frees is filled with this very answer, if the
-            // store is quick about it; commands leave only once stored
-            Ok(true) => {
-                let _ = timed(self.policy.commit_wait, async {
-                    loop {
-                        let stored = self.stored.listen();
-                        if !self.lock().cluster.as_ref().is_some_and(|c| c.start_pending(&report)) {
-                            return;
-                        }
-                        stored.await;
-                    }
-                })
-                .await;
-            }
+            Ok(true) => self.await_commit(&[&report]).await,
             Err(r) => return r,
         }
+        self.answer(&report)
+    }
+
+    /// What a report frees is filled with its very answer, if the store is quick about it;
+    /// commands leave only once stored.
+    pub(crate) async fn await_commit(&self, reports: &[&Report]) {
+        let _ = timed(self.policy.commit_wait, async {
+            loop {
+                let stored = self.stored.listen();
+                let pending = self.lock().cluster.as_ref().is_some_and(|c| reports.iter().any(|r| c.start_pending(r)));
+                if !pending {
+                    return;
+                }
+                stored.await;
+            }
+        })
+        .await;
+    }
+
+    /// The leader's answer to a report that it has taken in.
+    pub(crate) fn answer(&self, report: &Report) -> Response {
         let mut i = self.lock();
         let now = Instant::now();
         // checked at the moment of answering: the lease may have run out
         if self.leads(&i, now) {
             if let Some(c) = i.cluster.as_mut() {
-                return Response::new(200, &c.answer(&report, now));
+                return Response::new(200, &c.answer(report, now));
             }
         }
         Response::refuse(503, "leads no more")
     }
 
     /// Takes a report into the leader's state; whether its answer should wait
-    /// for the store.
-    fn take_in(&self, report: &Report) -> Result<bool, Response> {
+    /// for the store.  `direct`: its worker sent it here.
+    pub(crate) fn take_in(&self, report: &Report, direct: bool) -> Result<bool, Response> {
         let mut i = self.lock();
         let now = Instant::now();
         self.beat(&mut i, now);
-        self.hears(&mut i, &report.zone, now);
+        match direct {
+            true => self.hears(&mut i, &report.zone, now),
+            // workers are heard; what reaches this controller itself only those tell
+            false => i.heard = Some(now),
+        }
         if i.acts(now) && !self.leads(&i, now) {
             return Err(Response::refuse(503, "does not see the store's changes"));
         }
@@ -234,9 +262,7 @@
                 return Err(Response::new(200, &self.keep_alive(&i, report, token)));
             }
             return Err(match &i.leader {
-                Some(l) if l.record.name != self.config.name => {
-                    Response::new(421, &Redirect { answer_to: Some(&l.record.name) })
-                }
+                Some(l) if l.record.name != self.config.name => redirect(Some(&l.record.name)),
                 _ => Response::refuse(503, "no leader is known"),
             });
         }
@@ -648,6 +674,19 @@
         JobState { id: id.clone(), stage: stage.into(), done, running }
     }
 
+    /// The progress of jobs, counted lately or now: many siblings ask.
+    pub fn progress_told(&self, now: Instant) -> Vec<wire::Progress> {
+        let mut told = lock(&self.peers.told_progress);
+        match told.as_ref() {
+            Some((at, jobs)) if now.saturating_duration_since(*at) < PROGRESS_KEPT => jobs.clone(),
+            _ => {
+                let jobs = self.progress();
+                *told = Some((now, jobs.clone()));
+                jobs
+            }
+        }
+    }
+
     /// Done and running tasks of all jobs that are not over, for siblings.
     pub fn progress(&self) -> Vec<wire::Progress> {
         let i = self.lock();
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use coralnotch_core::reporting::spreads;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use serde::{Deserialize, Serialize};
 
@@ -554,9 +555,12 @@
                 let plan = i.cluster.as_mut().map(|c| {
                     let here = c.here();
                     c.fleet.listen(self.lag.now(), here, &self.policy, now);
-                    c.plan(&wants, now)
+                    (c.plan(&wants, now), here)
                 });
-                let plan = plan.unwrap_or_default();
+                if let Some((_, here)) = &plan {
+                    i.spread = spreads(*here, self.policy.spread_from, i.spread);
+                }
+                let plan = plan.map(|p| p.0).unwrap_or_default();
                 i.wants = wants;
                 plan
             };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod node;
 pub mod peers;
 pub mod queues;
+pub mod reports;
 pub mod run;
 pub mod siblings;
 pub mod status;
--- a/src/node.rs
+++ b/src/node.rs
@@ -15,7 +15,7 @@
 use crate::ledger::Ledger;
 use crate::model::*;
 use crate::policy::Policy;
-use crate::queues::Intake;
+use crate::queues::{Intake, ReportQueue};
 use crate::siblings::Peers;
 use crate::store::{Budget, Store};
 use crate::telemetry::Telemetry;
@@ -40,6 +40,10 @@
     pub synced: bool,
     /// All controllers have jobs that wait for others.
     pub chains: bool,
+    /// All controllers forward reports.
+    pub reports_on: bool,
+    /// The leader has the others take workers' reports, as far as known.
+    pub spread: bool,
     /// Revision up to which the watch has been seen.
     pub epoch: u64,
     /// The withdrawals that are known here, for siblings' accounts.
@@ -113,6 +117,8 @@
             ledger: Ledger::new(ended_kept),
             synced: false,
             chains: false,
+            reports_on: false,
+            spread: false,
             epoch: 0,
             leader: None,
             authority: None,
@@ -133,7 +139,12 @@
 
     /// Whether all that this version has is on.
     pub fn all_on(&self) -> bool {
-        self.chains && self.told_since.is_some()
+        self.chains && self.told_since.is_some() && self.reports_on
+    }
+
+    /// Whether workers' reports are taken by all controllers and forwarded to the leader.
+    pub fn spreads(&self) -> bool {
+        self.spread && self.reports_on
     }
 
     /// Whether this controller leads and finds nothing of a job on any machine.
@@ -177,6 +188,8 @@
     pub to_lead: Wake,
     /// Users' requests on their way to the store.
     pub intake: Intake,
+    /// Workers' reports on their way to the leader.
+    pub reports: ReportQueue,
     /// Counters and latencies.
     pub telemetry: Telemetry,
     /// How long requests wait for their turn.
@@ -212,6 +225,7 @@
             told: event_listener::Event::new(),
             to_lead: Wake::default(),
             intake: Intake::new(lookups, now),
+            reports: ReportQueue::default(),
             telemetry: Telemetry::default(),
             lag: Lag::default(),
             config,
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -23,6 +23,8 @@
 use crate::siblings::wire::peer_server::{Peer, PeerServer};
 use crate::siblings::{from_wire, lock, to_wire, wire, Link, Seen, Work};
 
+/// Controllers that keep what the leader learned of machines.
+const MACHINES_KEPT_BY: usize = 3;
 /// Requests of one sibling at once.
 const MOST_STREAMS: u32 = 64;
 
@@ -35,6 +37,7 @@
             (i.synced.then_some(i.epoch), i.knowledge.asks(&l.name))
         };
         let ask = wire::StatusRequest {
+            without_machines: !self.keeps_machines(),
             progress,
             from: self.config.name.clone(),
             knows: gates::known(),
@@ -54,6 +57,9 @@
         let seen = Seen { at: now, served: s.served, term: s.term, heard };
         lock(&self.peers.seen).insert(l.name.clone(), seen);
         if progress {
+            if s.leads {
+                self.lock().spread = s.spread;
+            }
             if !s.machines.is_empty() {
                 *lock(&self.peers.learned) = from_wire(s.machines, &s.images, now);
             }
@@ -62,6 +68,12 @@
         }
     }
 
+    /// Whether this controller is one of the few that keep what the leader learned of machines
+    /// for the next one: of many controllers the first by name.
+    fn keeps_machines(&self) -> bool {
+        self.config.siblings.iter().filter(|s| s.name < self.config.name).count() < MACHINES_KEPT_BY
+    }
+
     /// A sibling has accounted for the withdrawals that it knows.
     fn accounts(&self, name: &str, a: wire::Account, sent: Instant, now: Instant) {
         let known = a.known.into_iter().map(|w| Withdrawal { stamp: w.stamp, id: w.id.into() });
@@ -229,6 +241,13 @@
         }))
     }
 
+    async fn report(
+        &self,
+        r: tonic::Request<wire::ReportBatch>,
+    ) -> Result<tonic::Response<wire::ReportAnswers>, tonic::Status> {
+        Ok(tonic::Response::new(self.0.take_batch(r.into_inner()).await))
+    }
+
     async fn tell(
         &self,
         r: tonic::Request<wire::TellRequest>,
@@ -250,10 +269,13 @@
         let (progress, now) = (r.progress, Instant::now());
         let account = self.0.account(&r);
         if !r.from.is_empty() {
-            self.0.shows(&r.from, r.knows, String::new(), now);
+            self.0.shows(&r.from, r.knows.clone(), String::new(), now);
         }
-        let jobs = if progress { self.0.progress() } else { Vec::new() };
-        let (machines, images) = match progress {
+        if progress && !r.from.is_empty() {
+            lock(&self.0.peers.asked).insert(r.from.clone(), now);
+        }
+        let jobs = if progress { self.0.progress_told(now) } else { Vec::new() };
+        let (machines, images) = match progress && !r.without_machines {
             false => Default::default(),
             true => match self.0.lock().cluster.as_ref() {
                 Some(c) => {
@@ -272,13 +294,26 @@
         };
         let leads = self.0.may_act(Instant::now());
         let served = !self.0.store.failing();
-        let (term, heard) = {
+        let (term, heard, spread) = {
             let i = self.0.lock();
-            (i.leader.as_ref().map_or(0, |l| l.record.term), i.heard)
+            (i.leader.as_ref().map_or(0, |l| l.record.term), i.heard, i.spread)
         };
         let heard_ms = heard.map(|t| t.elapsed().as_millis() as u64);
         let (knows, version) = (gates::known(), gates::VERSION.to_owned());
-        let s = wire::StatusResponse { served, term, leads, jobs, machines, images, heard_ms, knows, version, account };
+        let spread = spread && leads;
+        let s = wire::StatusResponse {
+            served,
+            term,
+            leads,
+            jobs,
+            machines,
+            images,
+            heard_ms,
+            knows,
+            version,
+            account,
+            spread,
+        };
         Ok(tonic::Response::new(s))
     }
 }
--- a/src/queues.rs
+++ b/src/queues.rs
@@ -1,13 +1,16 @@
-//! Users' requests that wait for the store, bounded.
+//! Requests that wait for another service, bounded: users' for the store, workers' for the leader.
 
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
 use coralnotch_core::answers::Accepted;
 use coralnotch_core::lookup::Found;
+use coralnotch_core::reporting::Forwarding;
 
+use crate::http::Response;
 use crate::model::*;
 use crate::store::Budget;
+use crate::workers::Report;
 
 pub(crate) type Reply<T> = smol::channel::Sender<T>;
 pub(crate) type Queue<T> = (smol::channel::Sender<T>, smol::channel::Receiver<T>);
@@ -39,3 +42,34 @@
         }
     }
 }
+
+/// Reports that may wait to be forwarded; there are no more than connections.
+const MOST_REPORTS: usize = 8192;
+
+/// A report on its way to the leader.
+pub(crate) struct WaitingReport {
+    pub(crate) report: Report,
+    /// As the worker sent it.
+    pub(crate) body: Vec<u8>,
+    /// Its worker waits no longer.
+    pub(crate) until: Instant,
+    pub(crate) reply: Reply<Response>,
+}
+
+/// The reports that wait to be forwarded, and what the leader took of earlier ones.
+pub struct ReportQueue {
+    pub(crate) waiting: Queue<WaitingReport>,
+    pub(crate) forwarding: Mutex<Forwarding>,
+    /// The leader did not answer then: reports are dealt with here for a while.
+    pub(crate) failed: Mutex<Option<Instant>>,
+}
+
+impl Default for ReportQueue {
+    fn default() -> ReportQueue {
+        ReportQueue {
+            waiting: smol::channel::bounded(MOST_REPORTS),
+            forwarding: Mutex::default(),
+            failed: Mutex::default(),
+        }
+    }
+}
--- /dev/null
+++ b/src/reports.rs
@@ -0,0 +1,297 @@
+//! Workers' reports between controllers: one that does not lead forwards them to the leader in
+//! batches and hands the leader's answers to the workers; the leader takes batches in.
+//!
+//! On once all controllers have it and there are more machines than the leader hears by itself.
+//! The leader answers each report as if it had come to it, and checks its right to at that
+//! moment; an answer that comes later than a worker waits is dropped by the worker.
+//!
+//! Must not know what a report means: that is decided in core.
+
+use std::sync::MutexGuard;
+use std::time::{Duration, Instant};
+
+use coralnotch_core::reporting::{assigned, Forwarded, Forwarder, Forwarding, Unchanged};
+
+use crate::http::{self, Response};
+use crate::node::Node;
+use crate::queues::WaitingReport;
+use crate::siblings::{lock, wire};
+use crate::telemetry::count;
+use crate::wait::timed;
+use crate::workers::{Answer, Report};
+
+/// Most reports in one message, and most messages under way.
+const BATCH_MOST: usize = 256;
+const CALLS_MOST: usize = 4;
+/// A worker waits 4 s for an answer; what is not answered by then goes elsewhere.
+const ANSWER_LIMIT: Duration = Duration::from_millis(3400);
+/// What a message may take besides the wait for the leader's commit.
+const CALL_LIMIT: Duration = Duration::from_millis(2000);
+/// Kept reports are looked through so often, in leases.
+const TIDY_AFTER_LEASES: f64 = 2.0;
+
+/// What came of a message to the leader.
+enum Sent {
+    /// Its answers, in the order of the reports.
+    Answers { term: u64, answers: Vec<wire::ReportAnswer> },
+    /// It does not lead, or not yet.
+    NotLeading,
+    /// No answer.
+    Failed,
+}
+
+impl Node {
+    /// Forwards a report and gives the leader's answer; `None`: this controller has to see to it
+    /// itself.
+    pub(crate) async fn forward(&self, body: &[u8]) -> Option<Response> {
+        let report: Report = http::decode(body).ok()?;
+        {
+            let now = Instant::now();
+            let mut i = self.lock();
+            self.beat(&mut i, now);
+            self.hears(&mut i, &report.zone, now);
+        }
+        let (reply, answer) = smol::channel::bounded(1);
+        let until = Instant::now() + ANSWER_LIMIT;
+        let waiting = WaitingReport { report, body: body.to_vec(), until, reply };
+        if self.reports.waiting.0.try_send(waiting).is_err() {
+            return Some(Response::refuse(503, "too many reports wait"));
+        }
+        match timed(ANSWER_LIMIT, answer.recv()).await {
+            Some(Ok(response)) => Some(response),
+            // given back: the leader cannot be reached from here
+            Some(Err(_)) => None,
+            None => Some(Response::refuse(503, "no leader has answered")),
+        }
+    }
+
+    /// Whether reports go to the leader by way of this controller now.
+    pub(crate) fn forwards(&self, now: Instant) -> bool {
+        let failed = *lock(&self.reports.failed);
+        if failed.is_some_and(|t| now.saturating_duration_since(t) < self.policy.peer_limit) {
+            return false;
+        }
+        let i = self.lock();
+        let leads_here = i.authority.is_some() || i.leader.as_ref().is_some_and(|l| l.record.name == self.config.name);
+        i.spreads() && !leads_here
+    }
+
+    /// Forwards what waits, for as long as the controller runs.
+    pub async fn forward_reports(&self) {
+        let gathers = smol::lock::Mutex::new(());
+        futures_util::future::join_all((0..CALLS_MOST).map(|_| self.forward_batches(&gathers))).await;
+    }
+
+    /// Forwards one batch after another; one of those that do gathers at a time.
+    async fn forward_batches(&self, gathers: &smol::lock::Mutex<()>) {
+        let mut tidied = Instant::now();
+        loop {
+            let batch = {
+                let _turn = gathers.lock().await;
+                self.gather(&self.reports.waiting.1).await
+            };
+            self.deliver(batch).await;
+            let keep = self.policy.lease.mul_f64(TIDY_AFTER_LEASES);
+            if tidied.elapsed() > keep {
+                tidied = Instant::now();
+                self.forwarding().tidy(keep, tidied);
+            }
+        }
+    }
+
+    fn forwarding(&self) -> MutexGuard<'_, Forwarding> {
+        lock(&self.reports.forwarding)
+    }
+
+    /// The reports that come within a short time.
+    async fn gather(&self, queue: &smol::channel::Receiver<WaitingReport>) -> Vec<WaitingReport> {
+        let Ok(first) = queue.recv().await else { return std::future::pending().await };
+        let mut batch = vec![first];
+        smol::Timer::after(self.policy.batch_gap).await;
+        while batch.len() < BATCH_MOST {
+            let Ok(next) = queue.try_recv() else { break };
+            batch.push(next);
+        }
+        batch
+    }
+
+    /// Has the leader answer a batch; while another takes over it waits for that one.
+    async fn deliver(&self, mut batch: Vec<WaitingReport>) {
+        loop {
+            let now = Instant::now();
+            batch.retain(|w| now < w.until && !w.reply.is_closed());
+            if batch.is_empty() {
+                return;
+            }
+            match self.send_batch(&batch).await {
+                Sent::Answers { term, answers } => {
+                    batch = self.hand_out(batch, answers, term);
+                    if batch.is_empty() {
+                        return;
+                    }
+                }
+                Sent::NotLeading => drop(smol::Timer::after(self.policy.renew / 4).await),
+                Sent::Failed => {
+                    // their senders end with the batch: each report is dealt with here
+                    *lock(&self.reports.failed) = Some(Instant::now());
+                    return;
+                }
+            }
+        }
+    }
+
+    async fn send_batch(&self, batch: &[WaitingReport]) -> Sent {
+        let (leader, term) = {
+            let i = self.lock();
+            match &i.leader {
+                Some(l) => (l.record.name.clone(), l.record.term),
+                None => return Sent::NotLeading,
+            }
+        };
+        let Some(link) = self.peers.links.iter().find(|l| l.name == leader) else { return Sent::NotLeading };
+        let reports = {
+            let forwarding = self.forwarding();
+            batch.iter().map(|w| to_wire(forwarding.message(&w.report, term), &w.body)).collect()
+        };
+        let message = wire::ReportBatch { from: self.config.name.clone(), term, reports };
+        let limit = CALL_LIMIT + self.policy.commit_wait;
+        let answer = self.peers.call(link, limit, |mut c| async move { c.report(message).await }).await;
+        match answer {
+            Some(a) if a.answers.len() == batch.len() => Sent::Answers { term: a.term, answers: a.answers },
+            Some(_) => Sent::NotLeading,
+            None => Sent::Failed,
+        }
+    }
+
+    /// Hands the leader's answers to the workers; the reports that it wants in full are left.
+    fn hand_out(&self, batch: Vec<WaitingReport>, answers: Vec<wire::ReportAnswer>, term: u64) -> Vec<WaitingReport> {
+        let (now, mut again) = (Instant::now(), Vec::new());
+        for (w, a) in batch.into_iter().zip(answers) {
+            let Ok(status) = u16::try_from(a.status) else { continue };
+            if status == 0 {
+                self.forwarding().forget(&w.report.machine);
+                again.push(w);
+                continue;
+            }
+            let mut response = match a.body.is_empty() {
+                true => Response::new(status, &Answer { token: a.token, orders: Vec::new() }),
+                false => Response { status, body: a.body, retry_after: None, seldom: false },
+            };
+            response.seldom = true;
+            if status == 200 {
+                self.forwarding().taken(w.report, term, now);
+            } else {
+                self.forwarding().forget(&w.report.machine);
+            }
+            let _ = w.reply.try_send(response);
+        }
+        again
+    }
+
+    /// Takes a batch of reports in, and answers each; none if this controller does not lead.
+    pub(crate) async fn take_batch(&self, batch: wire::ReportBatch) -> wire::ReportAnswers {
+        let term = match self.lock().authority {
+            Some(a) if a.term == batch.term => a.term,
+            _ => return wire::ReportAnswers::default(),
+        };
+        let taken: Vec<Taken> = batch.reports.into_iter().map(|r| self.take_one(r)).collect();
+        let pending = taken.iter().filter_map(|t| match t {
+            Taken::In { report, pending: true } => Some(report),
+            _ => None,
+        });
+        self.await_commit(&pending.collect::<Vec<_>>()).await;
+        let answers = taken.into_iter().map(|t| self.answer_one(t)).collect();
+        wire::ReportAnswers { term, answers }
+    }
+
+    fn take_one(&self, r: wire::Report) -> Taken {
+        count(&self.telemetry.counters.reports);
+        count(&self.telemetry.counters.forwarded);
+        if r.full.is_empty() {
+            return Taken::Answered(self.take_unchanged(r));
+        }
+        let report: Report = match http::decode(&r.full) {
+            Ok(report) => report,
+            Err(e) => return Taken::Answered(to_answer(&Response::refuse(400, &e.to_string()))),
+        };
+        match self.take_in(&report, false) {
+            Ok(pending) => Taken::In { report, pending },
+            Err(response) => Taken::Answered(to_answer(&response)),
+        }
+    }
+
+    /// A report without news.
+    fn take_unchanged(&self, r: wire::Report) -> wire::ReportAnswer {
+        let unchanged = Unchanged { machine: r.machine.into(), session: r.session, tally: r.tally, after: r.after };
+        let now = Instant::now();
+        let mut i = self.lock();
+        self.beat(&mut i, now);
+        i.heard = Some(now);
+        let answer = match self.leads(&i, now) {
+            true => i.cluster.as_mut().and_then(|c| c.unchanged(&unchanged, now)),
+            // the whole report is judged as any other
+            false => None,
+        };
+        match answer {
+            Some(a) => wire::ReportAnswer { status: 200, token: a.token, body: Vec::new() },
+            None => wire::ReportAnswer::default(),
+        }
+    }
+
+    /// The answer to a report that was taken in, by what is known at this moment.
+    fn answer_one(&self, taken: Taken) -> wire::ReportAnswer {
+        match taken {
+            Taken::Answered(a) => a,
+            Taken::In { report, .. } => to_answer(&self.answer(&report)),
+        }
+    }
+
+    /// The controller that takes a worker's reports for the leader, if there is one: only one
+    /// that has lately reached this leader.
+    pub(crate) fn sends_out(&self, machine: &str, zone: &str, now: Instant) -> Option<Response> {
+        if !self.lock().spreads() {
+            return None;
+        }
+        let fresh = self.policy.peer_limit * 4;
+        let asked = lock(&self.peers.asked);
+        let lately = |name: &str| asked.get(name).is_some_and(|t| now.saturating_duration_since(*t) < fresh);
+        let siblings = self.config.siblings.iter().filter(|s| lately(&s.name));
+        let all: Vec<Forwarder<'_>> = siblings.map(|s| Forwarder { name: &s.name, zone: &s.zone }).collect();
+        let to = assigned(machine, zone, &all)?;
+        Some(crate::intake::redirect(Some(to)))
+    }
+}
+
+/// A report of a batch, after it was taken in.
+enum Taken {
+    /// Its answer does not wait for anything.
+    Answered(wire::ReportAnswer),
+    /// It is answered once all of the batch is in; `pending`: after the commit.
+    In {
+        /// The report.
+        report: Report,
+        /// Something on its machine is on its way into the store.
+        pending: bool,
+    },
+}
+
+fn to_wire(message: Forwarded, body: &[u8]) -> wire::Report {
+    match message {
+        Forwarded::Full => wire::Report { full: body.to_vec(), ..wire::Report::default() },
+        Forwarded::Unchanged(u) => wire::Report {
+            full: Vec::new(),
+            machine: u.machine.to_string(),
+            session: u.session,
+            tally: u.tally,
+            after: u.after,
+        },
+    }
+}
+
+/// An answer as it goes to the controller that forwarded the report.
+fn to_answer(r: &Response) -> wire::ReportAnswer {
+    wire::ReportAnswer { status: r.status.into(), token: 0, body: r.body.clone() }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/reports/tests.rs
@@ -0,0 +1,138 @@
+use super::*;
+use crate::authority::{Authority, LeaderRecord};
+use crate::cluster::Cluster;
+use crate::config::Config;
+use crate::node::LeaderSeen;
+use crate::policy::Policy;
+use coralnotch_policy::example::SETTINGS;
+
+const TERM: u64 = 3;
+
+fn node() -> Node {
+    let sibling = "[[siblings]]\nhost_name = \"b\"\ndomain = \"z1\"\naddr = \"127.0.0.1:5\"\n[services]";
+    let settings = SETTINGS.replace("[services]", sibling);
+    let config = Config::parse("test", &settings).expect("settings of the tests");
+    let policy = Policy::new(&config).expect("the default policy");
+    Node::new(config, policy, Instant::now())
+}
+
+/// A controller that leads, and has all others forward reports.
+fn leader() -> Node {
+    let (n, now) = (node(), Instant::now());
+    {
+        let mut i = n.lock();
+        let until = now + Duration::from_secs(60);
+        i.authority = Some(Authority { term: TERM, stamp: 1, hold: 1, until, since: now });
+        i.cluster = Some(Cluster::new(TERM, n.policy.clone(), n.teams(), now));
+        i.knowledge.shown(now);
+        (i.reports_on, i.spread) = (true, true);
+    }
+    n
+}
+
+fn report(tally: u64, token: u64) -> Report {
+    Report {
+        machine: "i-000001".into(),
+        address: "127.0.0.1:9".into(),
+        kind: "t".into(),
+        zone: "a".into(),
+        spot: false,
+        session: 1,
+        tally,
+        token,
+        notice_s: None,
+        tasks: vec![],
+    }
+}
+
+fn full(r: &Report) -> wire::Report {
+    wire::Report { full: http::encode(r), ..wire::Report::default() }
+}
+
+fn repeats(r: &Report, after: u64) -> wire::Report {
+    let (machine, session, tally) = (r.machine.to_string(), r.session, r.tally);
+    wire::Report { full: Vec::new(), machine, session, tally, after }
+}
+
+fn batch(term: u64, reports: Vec<wire::Report>) -> wire::ReportBatch {
+    wire::ReportBatch { from: "another".into(), term, reports }
+}
+
+/// The leader answers each report of a batch as its own, and wants in full what repeats a
+/// report that it has not had.
+#[test]
+fn each_report_of_a_batch_is_answered() {
+    let n = leader();
+    let token = TERM << 24;
+    let other = Report { machine: "i-000002".into(), ..report(5, 0) };
+    let reports =
+        vec![full(&report(1, 0)), repeats(&other, 4), wire::Report { full: vec![0x90], ..Default::default() }];
+    let a = smol::block_on(n.take_batch(batch(TERM, reports)));
+    assert_eq!((a.term, a.answers.iter().map(|a| a.status).collect::<Vec<_>>()), (TERM, vec![200, 0, 400]));
+    let first: Answer = http::decode(&a.answers[0].body).expect("an answer to a worker");
+    assert_eq!((first.token, first.orders.len()), (token, 0));
+    let a = smol::block_on(n.take_batch(batch(TERM, vec![repeats(&report(2, 0), 1), repeats(&report(2, 0), 1)])));
+    let short = wire::ReportAnswer { status: 200, body: vec![], token };
+    assert_eq!(a.answers, [short, wire::ReportAnswer::default()], "the second comes too late");
+    assert!(n.lock().heard.is_some() && n.lock().foreign.is_none(), "its own sockets were not reached");
+}
+
+/// A batch for another term, and one that finds the lease over, gets no answer that renews.
+#[test]
+fn only_the_leader_of_the_term_answers() {
+    let n = leader();
+    for term in [TERM - 1, TERM + 1] {
+        let a = smol::block_on(n.take_batch(batch(term, vec![full(&report(1, 0))])));
+        assert!(a.answers.is_empty(), "term {term}");
+    }
+    let a = smol::block_on(n.take_batch(batch(TERM, vec![full(&report(1, 0))])));
+    assert_eq!(a.answers[0].status, 200);
+    if let Some(a) = n.lock().authority.as_mut() {
+        a.until = Instant::now();
+    }
+    let reports = vec![full(&report(2, 0)), repeats(&report(3, 0), 1)];
+    let a = smol::block_on(n.take_batch(batch(TERM, reports)));
+    assert!(a.answers.iter().all(|a| a.status != 200), "{:?}", a.answers);
+    let a = smol::block_on(node().take_batch(batch(TERM, vec![full(&report(1, 0))])));
+    assert!(a.answers.is_empty(), "it never led");
+}
+
+/// Workers are sent only to controllers that have lately reached the leader, and to none where
+/// one controller is enough.
+#[test]
+fn workers_are_sent_to_whoever_reaches_the_leader() {
+    let (n, now) = (leader(), Instant::now());
+    let to = |n: &Node, at: Instant| n.sends_out("i-000001", "a", at).map(|r| (r.status, r.body));
+    assert!(to(&n, now).is_none(), "nobody has asked");
+    let name = n.config.siblings[0].name.clone();
+    lock(&n.peers.asked).insert(name.clone(), now);
+    let (status, body) = to(&n, now).expect("one has");
+    assert_eq!(status, 421);
+    assert!(body.windows(name.len()).any(|w| w == name.as_bytes()));
+    assert!(to(&n, now + n.policy.peer_limit * 5).is_none(), "too long ago");
+    n.lock().spread = false;
+    assert!(to(&n, now).is_none(), "few machines");
+    n.lock().spread = true;
+    n.lock().reports_on = false;
+    assert!(to(&n, now).is_none(), "an earlier version is among them");
+}
+
+/// A controller forwards while another leads, and deals with reports itself for a while after
+/// the leader did not answer.
+#[test]
+fn a_controller_that_does_not_reach_the_leader_forwards_nothing() {
+    let (n, now) = (node(), Instant::now());
+    let record = LeaderRecord { name: "another".into(), term: TERM };
+    {
+        let mut i = n.lock();
+        i.leader = Some(LeaderSeen { record, stamp: 1 });
+        (i.reports_on, i.spread) = (true, true);
+    }
+    assert!(n.forwards(now));
+    *lock(&n.reports.failed) = Some(now);
+    assert!(!n.forwards(now));
+    assert!(n.forwards(now + n.policy.peer_limit));
+    n.lock().spread = false;
+    assert!(!n.forwards(now + n.policy.peer_limit));
+    assert!(!leader().forwards(now), "it leads itself");
+}
--- a/src/run.rs
+++ b/src/run.rs
@@ -55,6 +55,8 @@
         turns.duty(async move { n.confirm_open().await });
         let n = node.clone();
         turns.duty(async move { n.look_up().await });
+        let n = node.clone();
+        turns.duty(async move { n.forward_reports().await });
         turns.duty(node.clone().types_at_start());
         let n = node.clone();
         requests.spawn(async move { n.lag.measure(n.policy.pass_gap * 2).await }).detach();
--- a/src/siblings.rs
+++ b/src/siblings.rs
@@ -74,6 +74,10 @@
     pub(crate) seen: Mutex<HashMap<String, Seen>>,
     /// Progress of jobs as the leader last told.
     pub(crate) progress: Mutex<HashMap<crate::model::Name, (u32, u32)>>,
+    /// When each sibling last asked this controller for the progress of jobs.
+    pub(crate) asked: Mutex<HashMap<String, Instant>>,
+    /// The progress that was told last, for those that ask soon after.
+    pub(crate) told_progress: Mutex<Option<(Instant, Vec<wire::Progress>)>>,
     /// What the leader had learned of machines, as it last told.
     pub(crate) learned: Mutex<HashMap<Name, Learned>>,
     /// What each has shown that it has.
@@ -154,6 +158,8 @@
             links: siblings.iter().map(link).collect(),
             seen: Mutex::default(),
             progress: Mutex::default(),
+            asked: Mutex::default(),
+            told_progress: Mutex::default(),
             learned: Mutex::default(),
             roster: Mutex::default(),
             spawn: Spawner(s),
--- a/src/status.rs
+++ b/src/status.rs
@@ -66,6 +66,7 @@
             ("relayed", &c.relayed),
             ("lookups refused", &c.lookups_refused),
             ("reports", &c.reports),
+            ("reports forwarded", &c.forwarded),
             ("kept alive", &c.kept_alive),
             ("direct calls", &c.direct),
             ("direct calls lost", &c.direct_lost),
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -52,6 +52,8 @@
     pub lookups_refused: AtomicU64,
     /// Reports taken in.
     pub reports: AtomicU64,
+    /// ... that came by way of another controller.
+    pub forwarded: AtomicU64,
     /// Reports answered only to renew a lease.
     pub kept_alive: AtomicU64,
     /// Calls straight to workers, and how many got no answer.
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -163,6 +163,17 @@
         epoch
     }
 
+    /// The watch has shown all up to a revision; how long the next one may wait.
+    fn shown(&self, sent: Instant, epoch: u64) -> Duration {
+        let mut i = self.lock();
+        i.epoch = i.epoch.max(epoch);
+        i.knowledge.shown(sent);
+        match i.authority {
+            Some(_) => Duration::ZERO,
+            None => self.policy.watch_gap,
+        }
+    }
+
     /// Keeps up with the store for as long as the controller runs.  Returns
     /// only if the store is not for this version.
     pub async fn watch(&self) -> &'static str {
@@ -189,9 +200,10 @@
                 match self.store.changes(key::WATCHED, since, block).await {
                     Ok((news, epoch)) => {
                         since = self.changed(news, epoch.max(since));
-                        let mut i = self.lock();
-                        i.epoch = i.epoch.max(since);
-                        i.knowledge.shown(sent);
+                        let gap = self.shown(sent, since);
+                        if !gap.is_zero() {
+                            smol::Timer::after(gap).await;
+                        }
                     }
                     Err(Error::Gone) => break,
                     Err(e) => {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -33,8 +33,24 @@
         Cluster::of(dir, faults, capacity, PROGRAM.into(), None)
     }
 
+    /// One whose services and controllers have this size.
+    pub fn sized(dir: &Path, faults: &str, capacity: usize, size: Size) -> Cluster {
+        Cluster::with(dir, faults, capacity, PROGRAM.into(), None, size)
+    }
+
     /// One that begins with one program and is upgraded to another.
     pub fn of(dir: &Path, faults: &str, capacity: usize, controller: PathBuf, upgrade: Option<PathBuf>) -> Cluster {
+        Cluster::with(dir, faults, capacity, controller, upgrade, Size::default())
+    }
+
+    fn with(
+        dir: &Path,
+        faults: &str,
+        capacity: usize,
+        controller: PathBuf,
+        upgrade: Option<PathBuf>,
+        size: Size,
+    ) -> Cluster {
         let file = dir.join("faults.toml");
         fs::write(&file, faults).expect("a plan");
         let options = Options {
@@ -46,7 +62,7 @@
             capacity,
             demo: false,
             faults: Some(file),
-            size: Size::default(),
+            size,
             plan: Vec::new(),
             exit: false,
         };
