Renames: standard names in place of our own

The emulator's yard is its worker pool, its Tap a submission reader, strike inject; the daemon's Ears a WorkerContact, DEAF NO_WORKERS, hears worker_reported, Desk PeerService, judge validate, vouches record_found, stir queue_changed; the previous leader is called so. Nothing else changes; stored and wire forms stay.

--- a/packages/core/src/cluster/machine.rs
+++ b/packages/core/src/cluster/machine.rs
@@ -174,6 +174,6 @@
     pub samples: u32,
     /// Images it holds, the most recently used last.
     pub images: Vec<(Name, f64)>,
-    /// Its last report, as far as the forerunner had told.
+    /// Its last report, as far as the previous leader had told.
     pub heard: Option<Instant>,
 }
--- a/packages/core/src/cluster/mod.rs
+++ b/packages/core/src/cluster/mod.rs
@@ -57,7 +57,7 @@
     /// Ratio of run time to estimate, by class.
     pub bias: HashMap<Name, f64>,
     /// Something changed that placement should look at.
-    pub stir: bool,
+    pub queue_changed: bool,
     /// Starts to be stored.
     pub unstored: BTreeMap<Turn, Start>,
     next_turn: u64,
@@ -69,7 +69,7 @@
     pub next_page: u32,
     /// Machines that there may be something to tell.
     pub tell: BTreeSet<Name>,
-    /// What the forerunner had learned of machines that have not reported yet.
+    /// What the previous leader had learned of machines that have not reported yet.
     pub learned: HashMap<Name, Learned>,
     /// How long the tasks placed in the last pass had waited.
     pub placed_after: Vec<Duration>,
@@ -125,7 +125,7 @@
             awake: now,
             fleet: Fleet::default(),
             bias: HashMap::new(),
-            stir: true,
+            queue_changed: true,
             unstored: BTreeMap::new(),
             next_turn: 0,
             finished: BTreeSet::new(),
@@ -200,7 +200,7 @@
             self.release(h);
         }
         self.urgencies();
-        self.stir = true;
+        self.queue_changed = true;
     }
 
     /// A job that waited for others enters the queue, with the arrival that it
@@ -214,7 +214,7 @@
         for id in self.dependency.changes() {
             let Some(job) = self.jobs.get_mut(&id) else { continue };
             job.urgency = self.dependency.urgency(&id, Urgency::own(&job.spec, job.known));
-            self.stir = true;
+            self.queue_changed = true;
         }
     }
 
@@ -320,7 +320,7 @@
         if m.tasks.is_empty() {
             m.idle = Some(now);
         }
-        self.stir = true;
+        self.queue_changed = true;
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         if let Some(list) = job.places.get_mut(&task.index) {
             list.retain(|n| n != machine);
@@ -377,7 +377,7 @@
         job.fate = Some(fate);
         job.todo = Ranges::default();
         job.finishing = Ranges::default();
-        self.stir = true;
+        self.queue_changed = true;
         for (m, t) in job.placed() {
             let unsent = self
                 .machines
@@ -420,9 +420,9 @@
     }
 
     /// For how long a machine has been silent.  In a zone without a controller,
-    /// of one that has not reported in this term, what the forerunner told
+    /// of one that has not reported in this term, what the previous leader told
     /// counts, once those that can report have had the time to.  Elsewhere it
-    /// does not: a controller in a cut zone hears machines that the forerunner
+    /// does not: a controller in a cut zone hears machines that the previous leader
     /// did not, and a new leader once gave up two hundred of them as the cut
     /// healed.  A gap of this controller's own counts for nothing.
     pub fn silence(&self, m: &Machine, now: Instant) -> Duration {
--- a/packages/core/src/cluster/rented.rs
+++ b/packages/core/src/cluster/rented.rs
@@ -120,7 +120,7 @@
         self.records.insert(key, rentals.iter().map(|r| (r.charter.clone(), None)).collect());
     }
 
-    /// A forerunner's record.  What it asked for is asked for again under the
+    /// A previous leader's record.  What it asked for is asked for again under the
     /// same charter: that rents nothing twice, and tells what was rented.
     pub fn inherit(&mut self, key: String, rentals: Vec<Rental>) {
         self.recorded(key, &rentals);
--- a/packages/core/src/commit/tests.rs
+++ b/packages/core/src/commit/tests.rs
@@ -266,7 +266,7 @@
     let b = c.next_batch(5, &limits(4096)).expect("the end again");
     assert!(!c.jobs.contains_key("j-3"), "in doubt");
     c.committed(b, 6, now);
-    assert!(c.jobs.contains_key("j-3") && c.stir);
+    assert!(c.jobs.contains_key("j-3") && c.queue_changed);
     c.set_fate("j-2", Fate::Cancelled, now);
     let (mut ended, mut tries) = (Vec::new(), 0);
     while let Some(b) = c.next_batch(5, &limits(4096)) {
--- a/packages/core/src/fleet.rs
+++ b/packages/core/src/fleet.rs
@@ -49,7 +49,7 @@
                 m.size = t.size();
             }
         }
-        self.stir = true;
+        self.queue_changed = true;
     }
 
     /// A whole list of the cloud's.  Absence from it proves nothing: lists
@@ -115,7 +115,7 @@
                 m.exited.clear();
             }
         }
-        self.stir = true;
+        self.queue_changed = true;
     }
 
     /// What to rent and what to return.  Also stops what has to leave its
@@ -473,7 +473,7 @@
     fn rentals(&mut self, wants: &[Want], g: &Guarantees, plan: &mut Plan, now: Instant) {
         let policy = self.policy.clone();
         // machines on their way count before new ones are asked for.  A new
-        // leader knows those of its forerunner from the list, and what the list
+        // leader knows those of its previous leader from the list, and what the list
         // may lack from the records, which count until they are answered
         let Some(_) = self.fleet.listed else { return };
         plan.rent.extend(self.fleet.open.iter().cloned());
--- a/packages/core/src/fleet/tests.rs
+++ b/packages/core/src/fleet/tests.rs
@@ -152,7 +152,7 @@
     assert!(more.iter().all(|r| r.0), "for ordinary machines they may wait");
 }
 
-/// A new leader counts a machine's silence from what its forerunner told,
+/// A new leader counts a machine's silence from what its previous leader told,
 /// but not before those that can report have had the time to.
 #[test]
 fn silence_is_inherited() {
@@ -205,7 +205,7 @@
 /// Rentals outlive their leader: the next one asks again under the same
 /// charter, and nothing new before it knows what is on its way.
 #[test]
-fn a_forerunners_rentals_are_asked_for_again_and_not_twice() {
+fn a_previous_leaders_rentals_are_asked_for_again_and_not_twice() {
     let t0 = Instant::now();
     let mut old = cluster(1, t0);
     old.set_types(&[MachineType { zones: vec!["z0".into()], ..crate::sim::machine_type("t") }]);
--- a/packages/core/src/placement/mod.rs
+++ b/packages/core/src/placement/mod.rs
@@ -70,11 +70,11 @@
     /// One pass over the queue.  Decides starts and stops, and returns what
     /// found no place.
     pub fn place(&mut self, now: Instant) -> Vec<Want> {
-        self.stir = false;
+        self.queue_changed = false;
         self.placed_after.clear();
         self.mark_guaranteed();
         let d = self.decide(now);
-        self.stir |= d.unfinished;
+        self.queue_changed |= d.unfinished;
         for (id, why) in d.whys {
             if let Some(j) = self.jobs.get_mut(&id) {
                 j.why = why;
--- a/packages/core/src/placement/tests.rs
+++ b/packages/core/src/placement/tests.rs
@@ -92,14 +92,14 @@
     c.place(now);
     let first = placed(&c);
     assert!((1..10).contains(&first), "{first} jobs in one pass");
-    assert!(c.stir, "another pass is due");
+    assert!(c.queue_changed, "another pass is due");
     // in their order
     assert!((0..first).all(|n| c.jobs[&*format!("j-{n:06}")].todo.is_empty()));
     let passes = (1..100).find(|_| {
         c.place(now);
         placed(&c) == 40
     });
-    assert!(passes.is_some() && !c.stir);
+    assert!(passes.is_some() && !c.queue_changed);
 }
 
 /// Every team is at its limit, a job is cancelled whose machines can't be reached, and the
--- a/packages/core/src/sim/controllers.rs
+++ b/packages/core/src/sim/controllers.rs
@@ -360,7 +360,7 @@
                 if c.cluster.report(&report, true, now).is_none() {
                     return;
                 }
-                if c.cluster.stir {
+                if c.cluster.queue_changed {
                     c.wants = c.cluster.place(now);
                 }
                 let answer = c.cluster.answer(&report, now);
@@ -528,7 +528,7 @@
                 if c.cluster.report(&report, true, now).is_none() {
                     return;
                 }
-                if c.cluster.stir {
+                if c.cluster.queue_changed {
                     c.wants = c.cluster.place(now);
                 }
                 Some(c.cluster.answer(&report, now))
--- a/packages/core/src/workers.rs
+++ b/packages/core/src/workers.rs
@@ -72,7 +72,7 @@
             return Some(false);
         }
         if m.heard.is_none() {
-            self.stir = true;
+            self.queue_changed = true;
         }
         let session_changed = r.session != m.session;
         (m.session, m.tally) = (r.session, r.tally);
@@ -92,7 +92,7 @@
             Some(s) if m.notice.is_none() => {
                 tracing::info!("machine {} is taken back in {s} s", r.machine);
                 m.notice = Some(now + Duration::from_secs_f64(s.clamp(0.0, 3600.0)));
-                self.stir = true;
+                self.queue_changed = true;
             }
             None => m.notice = None,
             _ => {}
@@ -332,7 +332,7 @@
                 if !finishing {
                     self.complete(&t.task, now);
                 }
-                self.stir = true;
+                self.queue_changed = true;
                 return;
             }
             if let Some(p) = m.tasks.get(&t.task).filter(|_| known) {
@@ -507,7 +507,7 @@
         if m.drain == Some(FAILS) && m.blamed.len() < 2 {
             m.drain = None;
         }
-        self.stir = true;
+        self.queue_changed = true;
     }
 
     /// A completed task tells of its machine's speed.  Only completed tasks
--- a/packages/emulator/src/balancer.rs
+++ b/packages/emulator/src/balancer.rs
@@ -1,6 +1,6 @@
 //! The load balancer: a plain choice by health and open connections, and the
 //! copying of bytes.  It works at connection level; what users upload beside
-//! their submissions is read off the copied bytes by [`Tap`].
+//! their submissions is read off the copied bytes by [`SubmissionReader`].
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -123,14 +123,14 @@
 /// Reads submissions off the bytes that a user sends: users upload a job's
 /// description for the workers, and here that is the submission itself.
 #[derive(Debug, Default)]
-pub struct Tap {
+pub struct SubmissionReader {
     buf: Vec<u8>,
     lost: bool,
     /// Whole requests so far.
     pub requests: u64,
 }
 
-impl Tap {
+impl SubmissionReader {
     /// More bytes of a connection; the submissions that they complete.
     pub fn take(&mut self, bytes: &[u8]) -> Vec<Spec> {
         let mut found = Vec::new();
--- a/packages/emulator/src/balancer/tests.rs
+++ b/packages/emulator/src/balancer/tests.rs
@@ -56,7 +56,7 @@
     bytes.extend(b"GET /v2/runs/j-000001 HTTP/1.1\r\n\r\n");
     let bytes = [bytes.clone(), bytes].concat();
     for piece in [1, 7, 1000] {
-        let mut tap = Tap::default();
+        let mut tap = SubmissionReader::default();
         let found: Vec<Spec> = bytes.chunks(piece).flat_map(|c| tap.take(c)).collect();
         assert_eq!(found.len(), 2);
         assert_eq!(found[0], *spec);
--- a/packages/emulator/src/lib.rs
+++ b/packages/emulator/src/lib.rs
@@ -16,4 +16,4 @@
 pub mod settings;
 pub mod state;
 pub mod up;
-pub mod yard;
+pub mod worker_pool;
--- a/packages/emulator/src/scale/mod.rs
+++ b/packages/emulator/src/scale/mod.rs
@@ -282,7 +282,7 @@
         }
         let before = self.begin().await?;
         let began = Instant::now();
-        self.strike(fault, &before).await?;
+        self.inject(fault, &before).await?;
         let restarts = self.scenario.load(self.part).restarts;
         let (mut restarted, mut sampled) = (0, began);
         while began.elapsed().as_secs_f64() < seconds {
@@ -327,7 +327,7 @@
         Ok(())
     }
 
-    async fn strike(&self, fault: Fault, before: &[Snapshot]) -> Result<(), Error> {
+    async fn inject(&self, fault: Fault, before: &[Snapshot]) -> Result<(), Error> {
         let first = &self.regions[0];
         match fault {
             Fault::None | Fault::Restarts => {}
--- a/packages/emulator/src/scale/role.rs
+++ b/packages/emulator/src/scale/role.rs
@@ -27,7 +27,7 @@
 use crate::settings::WorkerTimes;
 use crate::state::{Limits, State};
 use crate::up::Error;
-use crate::yard::{self, Yard};
+use crate::worker_pool::{self, WorkerPool};
 
 /// Interval at which time passes for machines.
 const TICK: Duration = Duration::from_millis(20);
@@ -201,7 +201,7 @@
 fn world(
     state: State,
     cloud: Cloud,
-    workers: Yard,
+    workers: WorkerPool,
     controllers: Vec<Controller>,
     report_s: f64,
     rng: Rng,
@@ -220,8 +220,8 @@
     })
 }
 
-fn no_workers(rng: &mut Rng) -> Yard {
-    Yard::new(yard::Settings { lease_s: 0.0, gang_wait_s: 0.0, gang_peer_s: 0.0 }, 1.0, rng.fork())
+fn no_workers(rng: &mut Rng) -> WorkerPool {
+    WorkerPool::new(worker_pool::Settings { lease_s: 0.0, gang_wait_s: 0.0, gang_peer_s: 0.0 }, 1.0, rng.fork())
 }
 
 async fn serve_state(
@@ -402,7 +402,7 @@
     async fn serve(self, ex: Rc<LocalExecutor<'static>>) -> Result<(), Error> {
         let mut rng = Rng::with_seed(self.seed);
         let WorkerTimes { report_s, lease_s, gang_wait_s, gang_peer_s, .. } = self.times;
-        let workers = Yard::new(yard::Settings { lease_s, gang_wait_s, gang_peer_s }, 1.0, rng.fork());
+        let workers = WorkerPool::new(worker_pool::Settings { lease_s, gang_wait_s, gang_peer_s }, 1.0, rng.fork());
         let controllers = self.controllers.into_iter().map(|(name, addr)| Controller { name, addr }).collect();
         let world = world(State::new(Limits::NONE), no_cloud(), workers, controllers, report_s, rng);
         world.host.set(self.host);
@@ -424,7 +424,7 @@
         ("GET", path::STATS) => Response::new(200, &worker_stats(world)),
         ("POST", path::UPLOAD) => match http::decode::<Upload>(&r.body) {
             Ok(u) => {
-                let mut workers = world.yard.borrow_mut();
+                let mut workers = world.worker_pool.borrow_mut();
                 for spec in u.specs {
                     let id = spec.id.clone();
                     workers.upload(spec);
@@ -454,7 +454,7 @@
 }
 
 fn worker_stats(world: &World) -> WorkerStats {
-    let mut workers = world.yard.borrow_mut();
+    let mut workers = world.worker_pool.borrow_mut();
     let (running, replicas) = workers.running();
     let (now, today) = (Instant::now(), SystemTime::now());
     let since_epoch = |t: Instant| {
--- a/packages/emulator/src/serve.rs
+++ b/packages/emulator/src/serve.rs
@@ -17,10 +17,10 @@
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Task};
 
-use crate::balancer::{Balancer, Tap};
+use crate::balancer::{Balancer, SubmissionReader};
 use crate::cloud::{Cloud, Event};
 use crate::state::{State, Step};
-use crate::yard::Yard;
+use crate::worker_pool::WorkerPool;
 
 /// Interval at which time passes for machines and watches.
 const TICK: Duration = Duration::from_millis(20);
@@ -56,7 +56,7 @@
     /// Cloud.
     pub cloud: RefCell<Cloud>,
     /// Machines.
-    pub yard: RefCell<Yard>,
+    pub worker_pool: RefCell<WorkerPool>,
     /// Load balancer.
     pub balancer: RefCell<Balancer>,
     /// Chance.
@@ -139,7 +139,7 @@
     pub fn new(
         state: State,
         cloud: Cloud,
-        yard: Yard,
+        worker_pool: WorkerPool,
         controllers: Vec<Controller>,
         report_s: f64,
         rng: Rng,
@@ -148,7 +148,7 @@
         Rc::new(World {
             state: RefCell::new(state),
             cloud: RefCell::new(cloud),
-            yard: RefCell::new(yard),
+            worker_pool: RefCell::new(worker_pool),
             balancer: RefCell::new(Balancer::new(&addrs)),
             rng: RefCell::new(rng),
             per_second: RefCell::default(),
@@ -237,19 +237,19 @@
 
     /// The cloud takes a machine back at that time.
     pub fn notice(&self, name: &Name, at: Instant) {
-        self.yard.borrow_mut().notice(name, at);
+        self.worker_pool.borrow_mut().notice(name, at);
         self.wake_changed();
     }
 
     /// A machine is gone, and its sockets with it.
     pub fn gone(&self, name: &Name) {
-        self.yard.borrow_mut().gone(name);
+        self.worker_pool.borrow_mut().gone(name);
         self.workers.borrow_mut().remove(name);
     }
 
     /// Workers with something to report look at it.
     fn wake_changed(&self) {
-        let changed = self.yard.borrow_mut().take_changed();
+        let changed = self.worker_pool.borrow_mut().take_changed();
         let workers = self.workers.borrow();
         for w in changed.iter().filter_map(|n| workers.get(n)) {
             let _ = w.wake.try_send(());
@@ -268,7 +268,7 @@
         loop {
             smol::Timer::after(TICK).await;
             let now = Instant::now();
-            self.yard.borrow_mut().step(now);
+            self.worker_pool.borrow_mut().step(now);
             self.wake_changed();
             let events = self.cloud.borrow_mut().step(now);
             self.clone().carry_out(&ex, events);
@@ -285,7 +285,7 @@
         };
         let Ok(address) = listener.local_addr() else { return };
         let at: Name = address.to_string().into();
-        self.yard.borrow_mut().up(name.clone(), b.kind, b.zone, b.spot, at, Instant::now());
+        self.worker_pool.borrow_mut().up(name.clone(), b.kind, b.zone, b.spot, at, Instant::now());
         let (w, n) = (self.clone(), name.clone());
         let handler = move |r: Request| {
             let answer = w.direct(&n, &r);
@@ -315,11 +315,11 @@
     }
 
     fn direct_answer(&self, name: &Name, r: &Request) -> Option<Response> {
-        let (mut yard, now) = (self.yard.borrow_mut(), Instant::now());
+        let (mut worker_pool, now) = (self.worker_pool.borrow_mut(), Instant::now());
         let status = match (r.method.as_str(), r.path.as_str()) {
             ("GET", "/status") => 200,
             ("POST", "/commands") => match http::decode::<DirectBody>(&r.body) {
-                Ok(body) => match yard.command(name, body, now) {
+                Ok(body) => match worker_pool.command(name, body, now) {
                     true => 200,
                     false => 409,
                 },
@@ -327,7 +327,7 @@
             },
             _ => return Some(Response::refuse(404, "no such path")),
         };
-        Some(Response::new(status, &yard.report(name, now)?.0))
+        Some(Response::new(status, &worker_pool.report(name, now)?.0))
     }
 
     /// Reports every interval, and early when something changed.
@@ -337,7 +337,7 @@
         let mut last: Option<Instant> = None;
         loop {
             let now = Instant::now();
-            let early = self.yard.borrow().has_changed(&name).then(|| last.map_or(now, |t| t + REPORT_GAP));
+            let early = self.worker_pool.borrow().has_changed(&name).then(|| last.map_or(now, |t| t + REPORT_GAP));
             let next = early.map_or(due, |t| due.min(t));
             if now < next {
                 let timer = async {
@@ -349,7 +349,7 @@
                 or(timer, wake).await;
                 continue;
             }
-            let Some((report, sent)) = self.yard.borrow_mut().report(&name, now) else { return };
+            let Some((report, sent)) = self.worker_pool.borrow_mut().report(&name, now) else { return };
             let Some(to) = self.controllers.get(at) else { return };
             last = Some(now);
             let body = http::encode(&report);
@@ -363,7 +363,7 @@
             let wait = match answer {
                 Ok((200, body)) => {
                     if let Ok(a) = http::decode::<Answer>(&body) {
-                        self.yard.borrow_mut().answered(&name, sent, a, Instant::now());
+                        self.worker_pool.borrow_mut().answered(&name, sent, a, Instant::now());
                     }
                     Duration::from_secs_f64(self.report_s * (0.75 + 0.5 * self.rng.borrow_mut().f64()))
                 }
@@ -454,11 +454,11 @@
             };
             let (mut up, mut down) = (user.clone(), node.clone());
             let ahead = async {
-                let (mut buf, mut tap) = (vec![0u8; 4096], Tap::default());
+                let (mut buf, mut tap) = (vec![0u8; 4096], SubmissionReader::default());
                 while let Ok(n @ 1..) = up.read(&mut buf).await {
                     let before = tap.requests;
                     for spec in tap.take(&buf[..n]) {
-                        self.yard.borrow_mut().upload(spec);
+                        self.worker_pool.borrow_mut().upload(spec);
                     }
                     self.count(tap.requests - before);
                     if down.write_all(&buf[..n]).await.is_err() {
--- a/packages/emulator/src/up.rs
+++ b/packages/emulator/src/up.rs
@@ -24,7 +24,7 @@
 use crate::serve::{Controller, World};
 use crate::settings::{Cluster, NodePlace, Team, WorkerTimes};
 use crate::state::{Limits, State};
-use crate::yard::{self, Yard};
+use crate::worker_pool::{self, WorkerPool};
 
 /// Zones, one controller in each.
 const ZONES: [&str; 3] = ["north", "east", "south"];
@@ -364,7 +364,7 @@
 }
 
 /// Carries out one fault; what ends it comes later.
-fn strike(world: &Rc<World>, ex: &Rc<LocalExecutor<'static>>, nodes: &mut Processes, fault: Fault) {
+fn inject(world: &Rc<World>, ex: &Rc<LocalExecutor<'static>>, nodes: &mut Processes, fault: Fault) {
     let (now, w) = (Instant::now(), world.clone());
     match fault {
         Fault::Crash { node } => nodes.crash(node),
@@ -415,7 +415,7 @@
         Fault::KillMachines { count } | Fault::SpotWave { count } => {
             let wave = matches!(fault, Fault::SpotWave { .. });
             let mut rng = world.rng.borrow_mut();
-            let mut names: Vec<Name> = world.yard.borrow().machines().keys().cloned().collect();
+            let mut names: Vec<Name> = world.worker_pool.borrow().machines().keys().cloned().collect();
             rng.shuffle(&mut names);
             let mut cloud = world.cloud.borrow_mut();
             let hit = |n: &Name| match wave {
@@ -470,11 +470,11 @@
             notice_s: 5.0,
             boot_fail: 0.02,
         });
-        let how = yard::Settings { lease_s: LEASE_S, gang_wait_s: GANG_WAIT_S, gang_peer_s: GANG_PEER_S };
-        let yard = Yard::new(how, 1.0, rng.fork());
+        let how = worker_pool::Settings { lease_s: LEASE_S, gang_wait_s: GANG_WAIT_S, gang_peer_s: GANG_PEER_S };
+        let worker_pool = WorkerPool::new(how, 1.0, rng.fork());
         let controllers: Vec<Controller> =
             binds.iter().enumerate().map(|(i, b)| Controller { name: format!("node-{i}"), addr: b.0 }).collect();
-        let world = World::new(State::new(options.size.limits()), cloud, yard, controllers, REPORT_S, rng);
+        let world = World::new(State::new(options.size.limits()), cloud, worker_pool, controllers, REPORT_S, rng);
         for (i, on) in states.into_iter().enumerate() {
             ex.spawn(world.clone().serve_state(ex.clone(), on, i)).detach();
         }
@@ -524,7 +524,7 @@
                     while let Some(p) = plan.front().copied().filter(|p| since.elapsed() >= p.at) {
                         plan.pop_front();
                         say(&format!("{:5.1} s  {:?}", since.elapsed().as_secs_f64(), p.fault));
-                        strike(&world, &ex, &mut nodes, p.fault);
+                        inject(&world, &ex, &mut nodes, p.fault);
                     }
                     smol::Timer::after(Duration::from_millis(50)).await;
                 }
@@ -538,15 +538,15 @@
         let result = or(work, asked).await;
         drop(nodes);
         result?;
-        let yard = world.yard.borrow();
+        let worker_pool = world.worker_pool.borrow();
         let report = Report {
-            started: yard.started,
-            killed: yard.killed,
+            started: worker_pool.started,
+            killed: worker_pool.killed,
             cost: world.cloud.borrow().cost(Instant::now()),
-            broken: yard.broken.clone(),
+            broken: worker_pool.broken.clone(),
             per_second: world.per_second.borrow().as_ref().map(|p| p.1.clone()).unwrap_or_default(),
             keys: world.state.borrow().under(""),
-            completed: yard.completed().clone(),
+            completed: worker_pool.completed().clone(),
         };
         let Report { started, killed, cost, broken, .. } = &report;
         say(&format!("{started} tasks started, {killed} killed by a lease; the machines cost {cost:.2}"));
--- a/packages/emulator/src/yard.rs
+++ b/packages/emulator/src/worker_pool.rs
@@ -91,7 +91,7 @@
 
 /// All machines, and what users uploaded.
 #[derive(Debug)]
-pub struct Yard {
+pub struct WorkerPool {
     settings: Settings,
     machines: BTreeMap<Name, Machine>,
     /// The machines that list a task, in any state.
@@ -134,10 +134,10 @@
     }
 }
 
-impl Yard {
-    /// An empty yard.
-    pub fn new(settings: Settings, pace: f64, rng: Rng) -> Yard {
-        Yard {
+impl WorkerPool {
+    /// An empty pool.
+    pub fn new(settings: Settings, pace: f64, rng: Rng) -> WorkerPool {
+        WorkerPool {
             settings,
             machines: BTreeMap::new(),
             holders: HashMap::new(),
--- a/packages/emulator/src/yard/tests.rs
+++ b/packages/emulator/src/worker_pool/tests.rs
@@ -1,9 +1,9 @@
 use super::*;
 use coralnotch_wire::example::spec;
 
-fn yard(machines: usize, now: Instant) -> Yard {
+fn worker_pool(machines: usize, now: Instant) -> WorkerPool {
     let s = Settings { lease_s: 10.0, gang_wait_s: 5.0, gang_peer_s: 1.0 };
-    let mut y = Yard::new(s, 1.0, Rng::with_seed(1));
+    let mut y = WorkerPool::new(s, 1.0, Rng::with_seed(1));
     let kind = MachineType {
         name: "t".into(),
         cpus: 2.0,
@@ -26,12 +26,12 @@
     Task { job: "j-000001".into(), index }
 }
 
-fn run(y: &mut Yard, machine: &str, token: u64, index: u32, now: Instant) -> bool {
+fn run(y: &mut WorkerPool, machine: &str, token: u64, index: u32, now: Instant) -> bool {
     let orders = vec![Command::Run { task: task(index), attempt: 1 }];
     y.command(machine, DirectBody { token, session: 1, orders }, now)
 }
 
-fn states(y: &mut Yard, machine: &str, now: Instant) -> Vec<(TaskState, Option<Cause>)> {
+fn states(y: &mut WorkerPool, machine: &str, now: Instant) -> Vec<(TaskState, Option<Cause>)> {
     y.report(machine, now).map(|r| r.0.tasks.iter().map(|t| (t.state, t.cause)).collect()).unwrap_or_default()
 }
 
@@ -40,7 +40,7 @@
 #[test]
 fn fences_and_leases_hold() {
     let t0 = Instant::now();
-    let mut y = yard(1, t0);
+    let mut y = worker_pool(1, t0);
     y.upload((*spec("j-000001", 3)).clone());
     assert!(run(&mut y, "i-0", 5, 0, t0));
     assert!(!run(&mut y, "i-0", 4, 1, t0), "a former leader's");
@@ -61,7 +61,7 @@
 fn tasks_complete_and_a_second_copy_is_seen() {
     let t0 = Instant::now();
     let at = |s| t0 + Duration::from_secs(s);
-    let mut y = yard(2, t0);
+    let mut y = worker_pool(2, t0);
     y.upload((*spec("j-000001", 1)).clone());
     run(&mut y, "i-0", 1, 0, t0);
     y.step(at(2));
@@ -83,7 +83,7 @@
 fn gangs_start_and_fall_together() {
     let t0 = Instant::now();
     let at = |s| t0 + Duration::from_secs(s);
-    let mut y = yard(2, t0);
+    let mut y = worker_pool(2, t0);
     y.upload(Spec { shape: Shape::Gang, ..(*spec("j-000001", 2)).clone() });
     run(&mut y, "i-0", 1, 0, t0);
     y.step(at(2));
--- a/src/authority.rs
+++ b/src/authority.rs
@@ -39,17 +39,17 @@
 
 /// What a leader that hears no worker has learned of why.
 #[derive(Debug, Default)]
-pub struct Ears {
+pub struct WorkerContact {
     /// When a sibling first heard a worker after the last one came here.
     told: Option<Instant>,
 }
 
-impl Ears {
+impl WorkerContact {
     /// Whether to hand over.  `last`: a worker was last heard here; `elsewhere`:
     /// at a sibling; `answered`: siblings answer at all.  A sibling sends a
     /// worker here, and it comes within half a second: one that has not come
     /// cannot.  Where nobody can be asked, only a long silence tells.
-    pub fn deaf(
+    pub fn is_lost(
         &mut self,
         last: Instant,
         elsewhere: Option<Instant>,
@@ -95,7 +95,7 @@
 }
 
 /// Why a leader that no worker reaches hands over.
-pub const DEAF: &str = "hears no worker";
+pub const NO_WORKERS: &str = "hears no worker";
 
 #[cfg(test)]
 mod tests;
--- a/src/authority/tests.rs
+++ b/src/authority/tests.rs
@@ -15,16 +15,16 @@
     let at = |s: f64| t0 + Duration::from_secs_f64(s);
     let report = p.deaf.as_secs_f64() * 2.0;
     // workers turn to a sibling, and do not come on to here
-    let mut e = Ears::default();
-    let when = (0..200).map(|n| f64::from(n) * 0.1).find(|s| e.deaf(t0, Some(at(*s)), true, &p, at(*s)));
+    let mut e = WorkerContact::default();
+    let when = (0..200).map(|n| f64::from(n) * 0.1).find(|s| e.is_lost(t0, Some(at(*s)), true, &p, at(*s)));
     assert!(when.is_some_and(|s| s < report * 1.1), "{when:?}");
     // a world without workers is no reason, however long
-    let mut e = Ears::default();
-    assert!(!(0..999).any(|s| e.deaf(t0, None, true, &p, at(f64::from(s)))));
+    let mut e = WorkerContact::default();
+    assert!(!(0..999).any(|s| e.is_lost(t0, None, true, &p, at(f64::from(s)))));
     // nobody to ask: a long silence
-    let mut e = Ears::default();
-    assert!(!e.deaf(t0, None, false, &p, at(report * 1.5)));
-    assert!(e.deaf(t0, None, false, &p, at(report * 2.1)));
+    let mut e = WorkerContact::default();
+    assert!(!e.is_lost(t0, None, false, &p, at(report * 1.5)));
+    assert!(e.is_lost(t0, None, false, &p, at(report * 2.1)));
 }
 
 proptest! {
@@ -33,14 +33,14 @@
     #[test]
     fn redirected_workers_are_no_deafness(gaps in prop::collection::vec(0.1f64..6.0, 1..60)) {
         let (p, mut now) = (policy(), Instant::now());
-        let (mut e, mut last) = (Ears::default(), now);
+        let (mut e, mut last) = (WorkerContact::default(), now);
         for g in gaps {
             // a new worker turns to a sibling, and comes here half a second later
             now += Duration::from_secs_f64(g);
-            prop_assert!(!e.deaf(last, Some(now), true, &p, now));
+            prop_assert!(!e.is_lost(last, Some(now), true, &p, now));
             now += Duration::from_millis(500);
             last = now;
-            prop_assert!(!e.deaf(last, Some(now - Duration::from_millis(500)), true, &p, now));
+            prop_assert!(!e.is_lost(last, Some(now - Duration::from_millis(500)), true, &p, now));
         }
     }
 }
--- a/src/gates.rs
+++ b/src/gates.rs
@@ -108,7 +108,7 @@
                     for m in members {
                         let name = m.path.strip_prefix(key::MEMBER).unwrap_or_default().to_owned();
                         if let Some(r) = read_value::<Member>(&m.path, m.data) {
-                            self.vouches(&name, r, now);
+                            self.record_found(&name, r, now);
                         }
                     }
                 }
@@ -143,7 +143,7 @@
 
     /// A record of a controller was found.  It is no word of its own: one that
     /// has answered as an earlier version since the record was made is one.
-    fn vouches(&self, name: &str, m: Member, now: Instant) {
+    fn record_found(&self, name: &str, m: Member, now: Instant) {
         let mut roster = lock(&self.peers.roster);
         let contradicts = |s: &Shown| s.knows.is_empty() && now.saturating_duration_since(s.at) <= self.policy.ttl * 2;
         if !roster.of(name).is_some_and(contradicts) {
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -148,7 +148,7 @@
     }
 
     /// A worker of a zone has reported here.
-    pub(crate) fn hears(&self, i: &mut Inner, zone: &str, now: Instant) {
+    pub(crate) fn worker_reported(&self, i: &mut Inner, zone: &str, now: Instant) {
         i.heard = Some(now);
         if *zone != *self.config.zone {
             i.foreign = Some(now);
@@ -168,7 +168,7 @@
         let leader = i.leader.as_ref().filter(|l| l.record.name != self.config.name)?;
         let answer = redirect(Some(&leader.record.name));
         self.beat(&mut i, now);
-        self.hears(&mut i, &origin.zone, now);
+        self.worker_reported(&mut i, &origin.zone, now);
         Some(answer)
     }
 
@@ -234,7 +234,7 @@
         let now = Instant::now();
         self.beat(&mut i, now);
         match direct {
-            true => self.hears(&mut i, &report.zone, now),
+            true => self.worker_reported(&mut i, &report.zone, now),
             // workers are heard; what reaches this controller itself only those tell
             false => i.heard = Some(now),
         }
@@ -275,8 +275,8 @@
             Some(false) => return Ok(false),
             Some(true) => {}
         }
-        let stirred = c.stir;
-        if stirred {
+        let news = c.queue_changed;
+        if news {
             self.pass(&mut i, now);
         }
         let Some(c) = i.cluster.as_mut() else { return Ok(false) };
@@ -284,7 +284,7 @@
         if let Some(m) = c.machines.get_mut(&report.machine) {
             m.answering = pending;
         }
-        match (c.stir, stirred) {
+        match (c.queue_changed, news) {
             // the next pass fills what this report has freed, and one
             // transaction stores both
             (true, _) => self.to_place.wake(),
@@ -338,7 +338,7 @@
     }
 
     /// What speaks against a submission that is not known here.
-    async fn judge(&self, spec: &Spec) -> Verdict {
+    async fn validate(&self, spec: &Spec) -> Verdict {
         {
             let i = self.lock();
             if !i.synced || i.types.is_empty() {
@@ -351,7 +351,7 @@
         if stored_bytes(spec) > self.store.most.value_bytes {
             return Verdict::Later("larger than the state service takes now");
         }
-        self.judge_needs(spec).await
+        self.validate_needs(spec).await
     }
 
     /// Hands a submission over to be stored, with those that wait meanwhile.
@@ -366,7 +366,7 @@
     /// Whether a job that needs others can be taken, and whether one of these is
     /// known to be cancelled, so that it ends with it.
     /// "Never accepted" is the store's word alone: what is known here may lag.
-    async fn judge_needs(&self, spec: &Spec) -> Verdict {
+    async fn validate_needs(&self, spec: &Spec) -> Verdict {
         if spec.needs.is_empty() {
             return Verdict::Fine { doomed: false };
         }
@@ -734,7 +734,7 @@
                 (Step::Confirm, _) => q.confirmed(self.end_of(id).await),
                 (Step::Cancel, _) => q.ended(self.cancel(id).await.ok()),
                 (Step::Read(ids), _) => q.read(began.elapsed() < QUERY_LIMIT && self.read_ends(ids).await),
-                (Step::Judge, Some(spec)) => q.judged(self.judge(spec).await),
+                (Step::Judge, Some(spec)) => q.judged(self.validate(spec).await),
                 (Step::Store { doomed }, Some(spec)) => {
                     let outcome = self.stored(spec.clone(), doomed).await;
                     q.stored(outcome, &mut self.lock().ledger);
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -9,7 +9,7 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use serde::{Deserialize, Serialize};
 
-use crate::authority::{Authority, Ears, DEAF};
+use crate::authority::{Authority, WorkerContact, NO_WORKERS};
 use crate::cluster::{Cluster, Machine, Stage};
 use crate::cluster::{Listed, Rental, Tried};
 use crate::cluster::{Page, Whereabouts};
@@ -99,7 +99,7 @@
         let cloud = futures_lite::future::or(self.listing(a), self.cloud_work(a));
         let chains = futures_lite::future::or(self.gate(a), self.asking());
         let work = futures_lite::future::or(work, chains);
-        futures_lite::future::or(futures_lite::future::or(work, cloud), self.ears()).await
+        futures_lite::future::or(futures_lite::future::or(work, cloud), self.watch_contact()).await
     }
 
     /// A new leader's picture: jobs from the watch, the rest from the store.
@@ -399,7 +399,7 @@
                         count(&self.telemetry.counters.direct_lost);
                     }
                     c.direct_over(&d, report.as_ref(), Instant::now());
-                    if c.stir {
+                    if c.queue_changed {
                         self.to_place.wake();
                     }
                 }
@@ -411,8 +411,8 @@
     /// A leader that no worker reaches hands over to one that they reach: their
     /// leases run while it listens in vain.  That a sibling hears workers, and
     /// they do not come on to here, tells it from a world without workers.
-    async fn ears(&self) -> &'static str {
-        let mut ears = Ears::default();
+    async fn watch_contact(&self) -> &'static str {
+        let mut contact = WorkerContact::default();
         loop {
             smol::Timer::after(self.policy.deaf / 4).await;
             let last = {
@@ -433,8 +433,8 @@
             self.ask_all(false).await;
             let now = Instant::now();
             let answered = self.peers.reachable(self.policy.deaf_alone, now);
-            if ears.deaf(last, self.peers.heard(), answered, &self.policy, now) {
-                return DEAF;
+            if contact.is_lost(last, self.peers.heard(), answered, &self.policy, now) {
+                return NO_WORKERS;
             }
         }
     }
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::authority::{lasts_until, Authority, LeaderRecord, DEAF};
+use crate::authority::{lasts_until, Authority, LeaderRecord, NO_WORKERS};
 use crate::node::Node;
 use crate::store::{key, read_value, Error, Guard, Outcome, Txn, Write};
 
@@ -66,7 +66,7 @@
                             }
                         }
                         let _ = self.store.revoke(a.hold).await;
-                        if why == DEAF {
+                        if why == NO_WORKERS {
                             let now = Instant::now();
                             stand_down = Some(StandDown { from: now, to: now + self.policy.ttl * 3 });
                         }
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -157,7 +157,7 @@
         }
     }
 
-    /// Asks all siblings how they stand, or also what a forerunner had learned
+    /// Asks all siblings how they stand, or also what a previous leader had learned
     /// of machines.
     pub async fn ask_all(&self, learned: bool) {
         futures_util::future::join_all(self.peers.links.iter().map(|l| self.ask(l, learned))).await;
@@ -195,7 +195,7 @@
 
     /// Serves the siblings.
     pub async fn serve_peers(self: Arc<Self>, listener: TcpListener) {
-        let service = PeerServer::new(Desk(self.clone()));
+        let service = PeerServer::new(PeerService(self.clone()));
         loop {
             let stream = match listener.accept().await {
                 Ok((s, _)) => s,
@@ -223,10 +223,10 @@
 }
 
 /// The serving side.
-struct Desk(Arc<Node>);
+struct PeerService(Arc<Node>);
 
 #[tonic::async_trait]
-impl Peer for Desk {
+impl Peer for PeerService {
     async fn relay(
         &self,
         r: tonic::Request<wire::RelayRequest>,
--- a/src/reports.rs
+++ b/src/reports.rs
@@ -49,7 +49,7 @@
             let now = Instant::now();
             let mut i = self.lock();
             self.beat(&mut i, now);
-            self.hears(&mut i, &report.zone, now);
+            self.worker_reported(&mut i, &report.zone, now);
         }
         let (reply, answer) = smol::channel::bounded(1);
         let until = Instant::now() + ANSWER_LIMIT;
