--- a/packages/emulator/src/capacity/mod.rs
+++ b/packages/emulator/src/capacity/mod.rs
@@ -16,6 +16,8 @@
 
 /// File of the bench's figures; all others of the directory are results of scale runs.
 const BENCH_FILE: &str = "bench.json";
+/// What whoever ran them has to say of the runs.
+const NOTES_FILE: &str = "notes.md";
 /// Phases in which load and processor belong together: nothing fails in them.
 const QUIET_PHASES: [&str; 3] = ["steady", "peak", "after the peak"];
 
@@ -50,6 +52,8 @@
     pub runs: Vec<(String, ScaleReport)>,
     /// Days of the bench.
     pub bench: Vec<BenchRow>,
+    /// What else is to be known of the runs, as text.
+    pub notes: String,
 }
 
 impl Results {
@@ -80,7 +84,8 @@
         if runs.is_empty() {
             return Err(Error::Input(format!("{}: no result of a scale run", dir.display())));
         }
-        Ok(Results { runs, bench })
+        let notes = fs::read_to_string(dir.join(NOTES_FILE)).unwrap_or_default();
+        Ok(Results { runs, bench, notes })
     }
 
     /// The scenario, which all runs share but for their steps.
--- a/packages/emulator/src/capacity/page.rs
+++ b/packages/emulator/src/capacity/page.rs
@@ -17,6 +17,8 @@
 const PACKET_BYTES: f64 = 4.0 * 52.0;
 /// Urgent work starts within this.
 const URGENT_MS: f64 = 2700.0;
+/// Report intervals of the deployments.
+const REPORT_INTERVALS_S: [f64; 3] = [3.0, 5.0, 8.0];
 /// Times the peak that a control machine is chosen for.
 const MARGIN: f64 = 2.0;
 
@@ -94,7 +96,7 @@
     for (_, run) in &r.runs {
         step_row(&mut t, run)?;
     }
-    t.push('\n');
+    writeln!(t, "\n{}", r.notes)?;
     Ok(t)
 }
 
@@ -252,10 +254,10 @@
     }
     writeln!(
         t,
-        "| {} | {} ({}) | {} | {} | {} | {} | {} | {} | {holds} |",
+        "| {} | {}{} | {} | {} | {} | {} | {} | {} | {holds} |",
         row.role,
         row.slope.name.split(": ").last().unwrap_or(row.slope.name),
-        row.slope.unit,
+        if row.slope.unit.is_empty() { String::new() } else { format!(" ({})", row.slope.unit) },
         told(&values[0]),
         told(&values[1]),
         told(&values[2]),
@@ -317,10 +319,23 @@
         let limit = if limit.is_finite() { short(limit) } else { "none".to_owned() };
         writeln!(t, "| {name} | {} | {} | {limit} | {holds} |", told(steady), told(peak))?;
     }
-    t += "\nThe state of the bench's workers at 3 to 8 s between reports: the quiet part falls and rises in proportion to the interval.\n\n";
+    intervals(&mut t, s, slopes, &all[1])?;
     Ok(t)
 }
 
+/// Bytes at other report intervals: what comes of time alone goes with their number.
+fn intervals(t: &mut String, s: &Scenario, slopes: &Slopes, peak: &RegionLoad) -> std::fmt::Result {
+    let (Some(bytes), Some(reports)) = (slopes.bytes.fit, slopes.reports.fit) else { return Ok(()) };
+    let quiet = bytes.slopes[0] * 1000.0 + reports.slopes[0] * PACKET_BYTES;
+    let more = (bytes.slopes[1] * 1000.0 + reports.slopes[1] * PACKET_BYTES) * peak.starts / peak.workers;
+    t.push_str("\nBytes a second of one worker by report interval, in a quiet second (at the peak): ");
+    let each = REPORT_INTERVALS_S.map(|i| {
+        let at = quiet * s.region.report_s / i;
+        format!("{i} s: {} ({})", short(at), short(at + more))
+    });
+    writeln!(t, "{}.\n", each.join("; "))
+}
+
 /// Times that users notice, by step and phase.
 fn times(r: &Results, failing: &mut Vec<String>) -> Part {
     let mut t = String::from("## Times\n\nFrom submission to acceptance, from the acceptance of urgent work (four tasks) to the start of the last, and from the \
--- a/packages/emulator/src/capacity/tests.rs
+++ b/packages/emulator/src/capacity/tests.rs
@@ -26,7 +26,11 @@
 }
 
 fn results() -> Results {
-    Results { runs: vec![("a".into(), made_up(0.125)), ("b".into(), made_up(0.5))], bench: Vec::new() }
+    Results {
+        runs: vec![("a".into(), made_up(0.125)), ("b".into(), made_up(0.5))],
+        bench: Vec::new(),
+        notes: String::new(),
+    }
 }
 
 /// Slopes are those of the phases in which nothing fails, and the target is read off them.
--- a/packages/emulator/src/scale/mod.rs
+++ b/packages/emulator/src/scale/mod.rs
@@ -218,6 +218,7 @@
             for r in &self.regions {
                 let s = r.worker_stats().await?;
                 full &= s.running as f64 >= tasks * FULL;
+                s.begun.into_iter().for_each(|b| self.notes.begun(b));
             }
             self.bar.set_message(format!("part {}: fills", self.part));
             self.bar.tick();
