Emulator: up in short steps

The one function of 128 lines that started a cluster is now listeners, settings, stand-ins, the running cluster and its report; nothing else changes.

--- a/packages/emulator/src/up.rs
+++ b/packages/emulator/src/up.rs
@@ -42,6 +42,8 @@
 const MEMORY_MB: f64 = 136.0;
 /// A controller that ended is started again after this.
 const RESTART: Duration = Duration::from_secs(2);
+/// Interval of looks at processes and at the plan of faults.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
 /// Within this the cluster has to be ready.
 const READY: Duration = Duration::from_secs(30);
 
@@ -170,6 +172,20 @@
 }
 
 impl Processes {
+    /// None is running yet.
+    fn new(options: &Options, program: PathBuf, dir: PathBuf) -> Processes {
+        Processes {
+            upgrade: options.upgrade.clone().unwrap_or_else(|| program.clone()),
+            upgraded: vec![false; ZONES.len()],
+            limits: options.size.limits(),
+            program,
+            dir,
+            running: ZONES.iter().map(|_| None).collect(),
+            ended: ZONES.iter().map(|_| None).collect(),
+            down_until: None,
+        }
+    }
+
     fn start(&mut self, i: usize) -> Result<(), Error> {
         let settings = self.dir.join(format!("node-{i}.toml"));
         let log = self.dir.join(format!("node-{i}.log"));
@@ -429,130 +445,184 @@
     }
 }
 
-/// Runs a cluster until `stop` says so; `ready` learns where users come.
-pub fn up(
-    options: &Options,
-    stop: smol::channel::Receiver<()>,
-    ready: impl FnOnce(SocketAddr),
-) -> Result<Report, Error> {
-    let mut plan: VecDeque<Planned> = plan(options)?.into();
-    let program = program(options.controller.as_deref())?;
-    let dir =
-        options.dir.clone().unwrap_or_else(|| std::env::temp_dir().join(format!("coralnotch-{}", std::process::id())));
-    tried(dir.display().to_string(), fs::create_dir_all(&dir))?;
-    let ex = Rc::new(LocalExecutor::new());
-    smol::block_on(ex.run(async {
+/// The listeners of a cluster, and where its controllers will listen.
+struct Listeners {
+    cloud: TcpListener,
+    users: TcpListener,
+    /// Of the state service, one for each controller, so that one of them can be refused.
+    states: Vec<TcpListener>,
+    /// For users and workers, and for the other controllers.
+    binds: Vec<(SocketAddr, SocketAddr)>,
+}
+
+impl Listeners {
+    async fn open(users_port: u16) -> Result<Listeners, Error> {
         let bind = |port: u16| TcpListener::bind(("127.0.0.1", port));
-        let cloud_on = tried("cloud", bind(0).await)?;
-        let users_on = tried(format!("port {} for users", options.port), bind(options.port).await)?;
-        let addr = |l: &TcpListener| tried("a listener", l.local_addr());
-        let (cloud_at, users_at) = (addr(&cloud_on)?, addr(&users_on)?);
-        // one for each controller, so that one of them can be refused
-        let mut states = Vec::new();
+        let cloud = tried("cloud", bind(0).await)?;
+        let users = tried(format!("port {users_port} for users"), bind(users_port).await)?;
+        let (mut states, mut binds) = (Vec::new(), Vec::new());
         for _ in ZONES {
             states.push(tried("state service", bind(0).await)?);
-        }
-        let mut binds = Vec::new();
-        for _ in ZONES {
             binds.push((free()?, free()?));
         }
-        let cluster = cluster(&binds, &plan, &options.size);
-        for (i, on) in states.iter().enumerate() {
+        Ok(Listeners { cloud, users, states, binds })
+    }
+
+    /// Writes the settings of all controllers.
+    fn write_settings(&self, dir: &Path, cluster: &Cluster) -> Result<(), Error> {
+        let cloud = address(&self.cloud)?;
+        for (i, on) in self.states.iter().enumerate() {
             let file = dir.join(format!("node-{i}.toml"));
-            tried(file.display().to_string(), fs::write(&file, cluster.file(i, addr(on)?, cloud_at)))?;
+            tried(file.display().to_string(), fs::write(&file, cluster.file(i, address(on)?, cloud)))?;
         }
-        let mut rng = Rng::with_seed(options.seed);
-        let cloud = Cloud::new(cloud::Settings {
-            types: types(),
-            capacity: options.capacity,
-            rps: CLOUD_RPS,
-            list_lag_s: LIST_LAG_S,
-            notice_s: 5.0,
-            boot_fail: 0.02,
-        });
-        let how = worker_pool::Settings { lease_s: LEASE_S, gang_wait_s: GANG_WAIT_S, gang_peer_s: GANG_PEER_S };
-        let worker_pool = WorkerPool::new(how, 1.0, rng.fork());
-        let controllers: Vec<Controller> =
-            binds.iter().enumerate().map(|(i, b)| Controller { name: format!("node-{i}"), addr: b.0 }).collect();
-        let world = World::new(State::new(options.size.limits()), cloud, worker_pool, controllers, REPORT_S, rng);
-        for (i, on) in states.into_iter().enumerate() {
+        Ok(())
+    }
+
+    /// Serves the stand-ins.
+    fn serve(self, world: &Rc<World>, ex: &Rc<LocalExecutor<'static>>) {
+        for (i, on) in self.states.into_iter().enumerate() {
             ex.spawn(world.clone().serve_state(ex.clone(), on, i)).detach();
         }
-        ex.spawn(world.clone().serve_cloud(ex.clone(), cloud_on)).detach();
+        ex.spawn(world.clone().serve_cloud(ex.clone(), self.cloud)).detach();
         ex.spawn(world.clone().time(ex.clone())).detach();
-        ex.spawn(world.clone().balance(ex.clone(), users_on)).detach();
-        let none = || binds.iter().map(|_| None).collect();
-        let mut nodes = Processes {
-            upgrade: options.upgrade.clone().unwrap_or_else(|| program.clone()),
-            upgraded: vec![false; binds.len()],
-            limits: options.size.limits(),
-            program,
-            dir: dir.clone(),
-            running: none(),
-            ended: binds.iter().map(|_| None).collect(),
-            down_until: None,
-        };
-        for i in 0..binds.len() {
-            nodes.start(i)?;
-            ex.spawn(world.clone().probe(i)).detach();
+        ex.spawn(world.clone().balance(ex.clone(), self.users)).detach();
+    }
+}
+
+fn address(l: &TcpListener) -> Result<SocketAddr, Error> {
+    tried("a listener", l.local_addr())
+}
+
+/// The stand-ins around controllers at these addresses.
+fn world(options: &Options, binds: &[(SocketAddr, SocketAddr)]) -> Rc<World> {
+    let mut rng = Rng::with_seed(options.seed);
+    let cloud = Cloud::new(cloud::Settings {
+        types: types(),
+        capacity: options.capacity,
+        rps: CLOUD_RPS,
+        list_lag_s: LIST_LAG_S,
+        notice_s: 5.0,
+        boot_fail: 0.02,
+    });
+    let times = worker_pool::Settings { lease_s: LEASE_S, gang_wait_s: GANG_WAIT_S, gang_peer_s: GANG_PEER_S };
+    let workers = WorkerPool::new(times, 1.0, rng.fork());
+    let controller = |(i, b): (usize, &(SocketAddr, SocketAddr))| Controller { name: format!("node-{i}"), addr: b.0 };
+    let controllers = binds.iter().enumerate().map(controller).collect();
+    World::new(State::new(options.size.limits()), cloud, workers, controllers, REPORT_S, rng)
+}
+
+/// A cluster whose stand-ins are served.
+struct Running<'a> {
+    options: &'a Options,
+    world: Rc<World>,
+    ex: Rc<LocalExecutor<'static>>,
+    nodes: Processes,
+    plan: VecDeque<Planned>,
+    users_at: SocketAddr,
+}
+
+impl Running<'_> {
+    /// Starts the controllers, and keeps them and the plan of faults until the demonstration is over.
+    async fn run(&mut self, ready: impl FnOnce(SocketAddr)) -> Result<(), Error> {
+        for i in 0..ZONES.len() {
+            self.nodes.start(i)?;
+            self.ex.spawn(self.world.clone().probe(i)).detach();
         }
-        let work = async {
-            let began = Instant::now();
-            while !(0..binds.len()).any(|i| world.balancer.borrow().healthy(i)) {
-                if began.elapsed() > READY {
-                    return Err(Error::Failed(format!("no controller is ready; see the logs in {}", dir.display())));
-                }
-                nodes.watch(Instant::now())?;
-                smol::Timer::after(Duration::from_millis(50)).await;
+        self.wait_ready().await?;
+        *self.world.per_second.borrow_mut() = Some((Instant::now(), Vec::new()));
+        ready(self.users_at);
+        let shown = show(self.options, self.users_at);
+        or(shown, self.keep()).await
+    }
+
+    async fn wait_ready(&mut self) -> Result<(), Error> {
+        let began = Instant::now();
+        while !(0..ZONES.len()).any(|i| self.world.balancer.borrow().healthy(i)) {
+            let dir = self.nodes.dir.display();
+            if began.elapsed() > READY {
+                return Err(Error::Failed(format!("no controller is ready; see the logs in {dir}")));
             }
-            say(&format!("ready: submit to {users_at}; settings and logs in {}; Ctrl-C ends it", dir.display()));
-            *world.per_second.borrow_mut() = Some((Instant::now(), Vec::new()));
-            ready(users_at);
-            let since = Instant::now();
-            let shown = async {
-                if options.demo {
-                    follow(users_at, &demo()).await?;
-                }
-                if !options.exit {
-                    std::future::pending::<()>().await;
-                }
-                Ok(())
-            };
-            let kept = async {
-                loop {
-                    nodes.watch(Instant::now())?;
-                    while let Some(p) = plan.front().copied().filter(|p| since.elapsed() >= p.at) {
-                        plan.pop_front();
-                        say(&format!("{:5.1} s  {:?}", since.elapsed().as_secs_f64(), p.fault));
-                        inject(&world, &ex, &mut nodes, p.fault);
-                    }
-                    smol::Timer::after(Duration::from_millis(50)).await;
-                }
-            };
-            or(shown, kept).await
-        };
+            self.nodes.watch(Instant::now())?;
+            smol::Timer::after(LOOK_EVERY).await;
+        }
+        let dir = self.nodes.dir.display();
+        say(&format!("ready: submit to {}; settings and logs in {dir}; Ctrl-C ends it", self.users_at));
+        Ok(())
+    }
+
+    /// Starts controllers that ended again, and carries out the faults as their time comes.
+    async fn keep(&mut self) -> Result<(), Error> {
+        let since = Instant::now();
+        loop {
+            self.nodes.watch(Instant::now())?;
+            while let Some(p) = self.plan.front().copied().filter(|p| since.elapsed() >= p.at) {
+                self.plan.pop_front();
+                say(&format!("{:5.1} s  {:?}", since.elapsed().as_secs_f64(), p.fault));
+                inject(&self.world, &self.ex, &mut self.nodes, p.fault);
+            }
+            smol::Timer::after(LOOK_EVERY).await;
+        }
+    }
+}
+
+/// The demonstration, if one is asked for; without `exit` it does not end.
+async fn show(options: &Options, users_at: SocketAddr) -> Result<(), Error> {
+    if options.demo {
+        follow(users_at, &demo()).await?;
+    }
+    if !options.exit {
+        std::future::pending::<()>().await;
+    }
+    Ok(())
+}
+
+/// What came of a cluster's life; an error if a rule was seen broken.
+fn report(world: &World) -> Result<Report, Error> {
+    let workers = world.worker_pool.borrow();
+    let report = Report {
+        started: workers.started,
+        killed: workers.killed,
+        cost: world.cloud.borrow().cost(Instant::now()),
+        broken: workers.broken.clone(),
+        per_second: world.per_second.borrow().as_ref().map(|p| p.1.clone()).unwrap_or_default(),
+        keys: world.state.borrow().under(""),
+        completed: workers.completed().clone(),
+    };
+    let Report { started, killed, cost, broken, .. } = &report;
+    say(&format!("{started} tasks started, {killed} killed by a lease; the machines cost {cost:.2}"));
+    if !broken.is_empty() {
+        return Err(Error::Failed(format!("rules broken:\n{}", broken.join("\n"))));
+    }
+    Ok(report)
+}
+
+/// Runs a cluster until `stop` says so; `ready` learns where users come.
+pub fn up(
+    options: &Options,
+    stop: smol::channel::Receiver<()>,
+    ready: impl FnOnce(SocketAddr),
+) -> Result<Report, Error> {
+    let plan: VecDeque<Planned> = plan(options)?.into();
+    let program = program(options.controller.as_deref())?;
+    let temporary = || std::env::temp_dir().join(format!("coralnotch-{}", std::process::id()));
+    let dir = options.dir.clone().unwrap_or_else(temporary);
+    tried(dir.display().to_string(), fs::create_dir_all(&dir))?;
+    let ex = Rc::new(LocalExecutor::new());
+    smol::block_on(ex.clone().run(async {
+        let listeners = Listeners::open(options.port).await?;
+        let users_at = address(&listeners.users)?;
+        listeners.write_settings(&dir, &cluster(&listeners.binds, &plan, &options.size))?;
+        let world = world(options, &listeners.binds);
+        listeners.serve(&world, &ex);
+        let nodes = Processes::new(options, program, dir);
+        let mut running = Running { options, world: world.clone(), ex: ex.clone(), nodes, plan, users_at };
         let asked = async {
             let _ = stop.recv().await;
             Ok(())
         };
-        let result = or(work, asked).await;
-        drop(nodes);
+        let result = or(running.run(ready), asked).await;
+        drop(running);
         result?;
-        let worker_pool = world.worker_pool.borrow();
-        let report = Report {
-            started: worker_pool.started,
-            killed: worker_pool.killed,
-            cost: world.cloud.borrow().cost(Instant::now()),
-            broken: worker_pool.broken.clone(),
-            per_second: world.per_second.borrow().as_ref().map(|p| p.1.clone()).unwrap_or_default(),
-            keys: world.state.borrow().under(""),
-            completed: worker_pool.completed().clone(),
-        };
-        let Report { started, killed, cost, broken, .. } = &report;
-        say(&format!("{started} tasks started, {killed} killed by a lease; the machines cost {cost:.2}"));
-        if !broken.is_empty() {
-            return Err(Error::Failed(format!("rules broken:\n{}", broken.join("\n"))));
-        }
-        Ok(report)
+        report(&world)
     }))
 }
