--- /dev/null
+++ b/src/leader/commits.rs
@@ -0,0 +1,139 @@
+//! A leader's writes to the store, and what it asks the store after.
+
+use std::collections::HashSet;
+use std::time::{Duration, Instant};
+
+use crate::authority::Authority;
+use crate::cluster::Cluster;
+use crate::model::*;
+use crate::node::Node;
+use crate::store::{key, read_value, Error, Item, Outcome};
+use crate::telemetry::{count, Timed};
+
+/// Needed jobs that the store is asked about at once.
+const MOST_ASKED: usize = 10_000;
+
+/// So many are asked about one by one; of more the pages are read.
+const FEW_ASKED: usize = 32;
+
+impl Node {
+    /// Stores what there is to store, one transaction at a time.
+    pub(super) async fn commits(&self, a: Authority) -> &'static str {
+        let mut most = self.store.most;
+        loop {
+            let batch = self.lock().cluster.as_mut().and_then(|c| c.next_batch(a.stamp, &most));
+            let Some(batch) = batch else {
+                self.to_commit.wait(Duration::from_millis(500)).await;
+                continue;
+            };
+            let began = Instant::now();
+            let outcome = self.store.txn(&batch.txn).await;
+            let now = Instant::now();
+            self.telemetry.took(Timed::Commit, now - began);
+            if !matches!(outcome, Ok(Outcome::Done(_))) {
+                count(&self.telemetry.counters.commits_failed);
+            }
+            match outcome {
+                Ok(Outcome::Done(revision)) => {
+                    let ended = self.lock().cluster.as_mut().map(|c| c.committed(batch, revision, now));
+                    for (id, fate) in ended.unwrap_or_default() {
+                        tracing::debug!("{id} is {}", fate.word());
+                        self.learn_fate(&id, fate, revision, now);
+                    }
+                    self.stored.notify(usize::MAX);
+                    self.to_command.wake();
+                    self.to_place.wake();
+                }
+                Ok(Outcome::Conflict(keys)) => {
+                    if keys.iter().any(|k| k == key::LEADER) {
+                        return "the leader key has changed";
+                    }
+                    tracing::info!("transaction in conflict over {keys:?}");
+                    if let Some(c) = self.lock().cluster.as_mut() {
+                        c.not_committed(batch);
+                    }
+                    for k in keys {
+                        match self.store.get(&k).await {
+                            Ok(item) => {
+                                if let Some(c) = self.lock().cluster.as_mut() {
+                                    c.resolve(&k, item.as_ref(), now);
+                                }
+                            }
+                            Err(e) => tracing::debug!("cannot read {k}: {e}"),
+                        }
+                    }
+                    smol::Timer::after(Duration::from_millis(20)).await;
+                }
+                Err(e) => {
+                    tracing::debug!("transaction: {e}");
+                    if let Some(c) = self.lock().cluster.as_mut() {
+                        c.not_committed(batch);
+                    }
+                    if matches!(e, Error::Refused(400)) {
+                        // larger than the service takes, whatever the settings
+                        // say: the same again would be refused again
+                        most = most.smaller();
+                        tracing::error!("a transaction is too large: from now on pages of {} bytes", most.page_bytes);
+                    }
+                    smol::Timer::after(self.policy.renew / 4).await;
+                }
+            }
+        }
+    }
+
+    /// Asks the store after needed jobs of which nothing is known here: they
+    /// ended before this controller began, or too long ago to be kept.  Only what
+    /// waits for them waits meanwhile.
+    pub(super) async fn asking(&self) -> &'static str {
+        loop {
+            let now = Instant::now();
+            let ids = {
+                let mut i = self.lock();
+                let asked = |c: &mut Cluster| c.dependency.to_ask(MOST_ASKED, self.policy.renew, now);
+                i.cluster.as_mut().map(asked).unwrap_or_default()
+            };
+            if ids.is_empty() {
+                self.to_ask.wait(self.policy.renew / 2).await;
+                continue;
+            }
+            match self.ends_of(ids).await {
+                Ok(ends) => ends.into_iter().for_each(|(id, fate, at)| self.learn_fate(&id, fate, at, Instant::now())),
+                Err(e) => {
+                    tracing::debug!("ends of needed jobs: {e}");
+                    smol::Timer::after(self.policy.renew / 4).await;
+                }
+            }
+        }
+    }
+
+    /// The ends of these jobs with their stamps, as far as they have one: a few one by one, many
+    /// from the pages of all ends.
+    async fn ends_of(&self, mut ids: Vec<Name>) -> Result<Vec<(Name, Fate, u64)>, Error> {
+        let read = |i: Item| {
+            let fate = read_value::<FateRecord>(&i.path, i.data)?.fate;
+            Some((Name::from(i.path.strip_prefix(key::FATE)?), fate, i.stamp))
+        };
+        let mut ends = Vec::new();
+        if ids.len() <= FEW_ASKED {
+            for id in ids {
+                self.lookup_pause(1.0).await;
+                ends.extend(self.store.get(&format!("{}{id}", key::FATE)).await?.and_then(read));
+            }
+            return Ok(ends);
+        }
+        ids.sort();
+        let wanted: HashSet<Name> = ids.iter().cloned().collect();
+        let mut since = String::new();
+        while let Some(last) = ids.last().filter(|l| since.as_str() < format!("{}{l}", key::FATE).as_str()) {
+            tracing::debug!("ends of {} needed jobs up to {last}, from {since}", ids.len());
+            let page = self.store.page(key::FATE, &since).await?;
+            let Some(row) = page.rows.last() else { break };
+            since.clone_from(&row.path);
+            ends.extend(page.rows.into_iter().filter_map(read).filter(|e| wanted.contains(&e.0)));
+            if !page.truncated {
+                break;
+            }
+        }
+        Ok(ends)
+    }
+}
--- /dev/null
+++ b/src/leader/placing.rs
@@ -0,0 +1,135 @@
+//! A leader's passes over the queue, its direct commands, and whether workers reach it.
+
+use std::time::{Duration, Instant};
+
+use futures_util::stream::{FuturesUnordered, StreamExt};
+
+use crate::authority::{WorkerContact, NO_WORKERS};
+use crate::cluster::{Machine, Stage};
+use crate::http;
+use crate::node::{Inner, Node};
+use crate::telemetry::{count, Timed};
+use crate::workers::Report;
+
+impl Node {
+    /// Passes over the queue: when something changed, and now and then.
+    pub(super) async fn placing(&self) -> &'static str {
+        loop {
+            self.to_place.wait(Duration::from_millis(500)).await;
+            let next = self.lock().next_pass;
+            if let Some(wait) = next.and_then(|t| t.checked_duration_since(Instant::now())) {
+                smol::Timer::after(wait).await;
+            }
+            self.pass(&mut self.lock(), Instant::now());
+            self.to_commit.wake();
+            self.to_command.wake();
+        }
+    }
+
+    /// One pass over the queue, if this controller may act and the last one is
+    /// long enough ago: passes take no more than their share of the processor.
+    pub fn pass(&self, i: &mut Inner, now: Instant) {
+        if i.next_pass.is_some_and(|t| now < t) || !i.acts(now) {
+            return;
+        }
+        if let Some(c) = i.cluster.as_mut() {
+            i.wants = c.place(now);
+            for waited in c.placed_after.drain(..) {
+                self.telemetry.took(Timed::Placement, waited);
+            }
+            c.tidy(now);
+            let took = now.elapsed();
+            i.next_pass = Some(now + self.policy.pass_gap.max(self.rest(took, self.policy.pass_share)));
+            self.telemetry.took(Timed::Pass, took);
+        }
+    }
+
+    /// Sends what should not wait for the next report straight to workers.
+    pub(super) async fn commanding(&self) -> &'static str {
+        let mut flying = FuturesUnordered::new();
+        loop {
+            let most = self.policy.direct_calls.saturating_sub(flying.len());
+            if most > 0 && self.may_act(Instant::now()) {
+                let calls = self.lock().cluster.as_mut().map(|c| c.direct(most)).unwrap_or_default();
+                for d in calls {
+                    flying.push(async move {
+                        // read as the bytes leave: this may have stood still
+                        // since it was decided
+                        if !self.may_act(Instant::now()) {
+                            return (d, None);
+                        }
+                        let body = http::encode(&d.body);
+                        let sent =
+                            self.workers.send(d.address, "POST", "/commands", Some(&body), self.policy.direct_limit);
+                        let report = match sent.await {
+                            Ok((200 | 409, body)) => http::decode::<Report>(&body).ok(),
+                            Ok((s, _)) => {
+                                tracing::info!("{} answers {s} to commands", d.machine);
+                                None
+                            }
+                            Err(e) => {
+                                tracing::debug!("{} commands: {e}", d.machine);
+                                None
+                            }
+                        };
+                        (d, report)
+                    });
+                }
+            }
+            let next = async {
+                match flying.next().await {
+                    Some(done) => Some(done),
+                    None => std::future::pending().await,
+                }
+            };
+            let woken = async {
+                self.to_command.wait(Duration::from_millis(500)).await;
+                None
+            };
+            if let Some((d, report)) = futures_lite::future::or(next, woken).await {
+                if let Some(c) = self.lock().cluster.as_mut() {
+                    count(&self.telemetry.counters.direct);
+                    if report.is_none() {
+                        count(&self.telemetry.counters.direct_lost);
+                    }
+                    c.direct_over(&d, report.as_ref(), Instant::now());
+                    if c.queue_changed {
+                        self.to_place.wake();
+                    }
+                }
+                self.to_commit.wake();
+            }
+        }
+    }
+
+    /// A leader that no worker reaches hands over to one that they reach: their
+    /// leases run while it listens in vain.  That a sibling hears workers, and
+    /// they do not come on to here, tells it from a world without workers.
+    pub(super) async fn watch_contact(&self) -> &'static str {
+        let mut contact = WorkerContact::default();
+        loop {
+            smol::Timer::after(self.policy.deaf / 4).await;
+            let last = {
+                let now = Instant::now();
+                let mut i = self.lock();
+                self.beat(&mut i, now);
+                let Some(c) = &i.cluster else { continue };
+                let up = |m: &&Machine| m.gone.is_none() && (m.heard.is_some() || m.stage == Some(Stage::Running));
+                let last = i.heard.unwrap_or(c.began).max(c.began).max(c.awake);
+                if !i.acts(now) || c.machines.values().filter(up).count() < 2 {
+                    continue;
+                }
+                last
+            };
+            if last.elapsed() < self.policy.deaf {
+                continue;
+            }
+            self.ask_all(false).await;
+            let now = Instant::now();
+            let answered = self.peers.reachable(self.policy.deaf_alone, now);
+            if contact.is_lost(last, self.peers.heard(), answered, &self.policy, now) {
+                return NO_WORKERS;
+            }
+        }
+    }
+}
