--- a/src/reports.rs
+++ b/src/reports.rs
@@ -190,9 +190,13 @@
 
     /// Takes a batch of reports in, and answers each; none if this controller does not lead.
     pub(crate) async fn take_batch(&self, batch: wire::ReportBatch) -> wire::ReportAnswers {
-        let term = match self.lock().authority {
-            Some(a) if a.term == batch.term => a.term,
-            _ => return wire::ReportAnswers::default(),
+        let term = {
+            let i = self.lock();
+            // one that still reads the store is waited for
+            match (i.authority, &i.cluster) {
+                (Some(a), Some(_)) if a.term == batch.term => a.term,
+                _ => return wire::ReportAnswers::default(),
+            }
         };
         let taken: Vec<Taken> = batch.reports.into_iter().map(|r| self.take_one(r)).collect();
         let pending = taken.iter().filter_map(|t| match t {
--- a/src/reports/tests.rs
+++ b/src/reports/tests.rs
@@ -95,6 +95,10 @@
     assert!(a.answers.iter().all(|a| a.status != 200), "{:?}", a.answers);
     let a = smol::block_on(node().take_batch(batch(TERM, vec![full(&report(1, 0))])));
     assert!(a.answers.is_empty(), "it never led");
+    let reading = leader();
+    reading.lock().cluster = None;
+    let a = smol::block_on(reading.take_batch(batch(TERM, vec![full(&report(1, 0))])));
+    assert!(a.answers.is_empty(), "it has not read the store yet, and is asked again");
 }
 
 /// Workers are sent only to controllers that have lately reached the leader, and to none where
