--- a/packages/core/src/cluster/rented.rs
+++ b/packages/core/src/cluster/rented.rs
@@ -150,14 +150,10 @@
     /// wait for their turn: fewer, down to half of what the policy begins with,
     /// while they wait for longer than `lag_most`; more, while a fleet of that size
     /// is heard without a wait, up to [`MOST_LEARNED`] of it.  Within four leases
-    /// it may double, or halve.  Where the other controllers take the reports it begins
-    /// with so many times as many.
-    pub fn listen(&mut self, lag: Duration, here: usize, spread: bool, policy: &Policy, now: Instant) {
-        let times = if spread { policy.spread_multiple } else { 1.0 };
-        let begin = policy.most_machines as f64 * times;
-        let (hears, last) = self.hears.unwrap_or((begin, now));
-        // spreading has begun or ended since
-        let mut hears = hears.clamp(begin / 2.0, begin * MOST_LEARNED);
+    /// it may double, or halve.
+    pub fn listen(&mut self, lag: Duration, here: usize, policy: &Policy, now: Instant) {
+        let begin = policy.most_machines as f64;
+        let (mut hears, last) = self.hears.unwrap_or((begin, now));
         let step = now.saturating_duration_since(last).as_secs_f64() / (policy.lease_over.as_secs_f64() * 4.0);
         if lag > policy.lag_most {
             hears *= 1.0 - step.min(0.5);
--- a/packages/policy/src/policy/mod.rs
+++ b/packages/policy/src/policy/mod.rs
@@ -174,8 +174,6 @@
     most_machines: usize as usize, 1.0 ..= 100000000.0;
     /// Above so many machines all controllers take reports and forward them to the leader.
     spread_from: usize as usize, 1.0 ..= 100000000.0;
-    /// … and so many times as many machines are rented as the leader hears by itself.
-    spread_multiple: f64 as f64, 1.0 ..= 100.0;
     /// Rentals that may be asked for at once.
     rentals_at_once: usize as usize, 1.0 ..= 1000.0;
     /// Direct commands that may be under way at once.
--- a/src/leader/machines.rs
+++ b/src/leader/machines.rs
@@ -152,10 +152,9 @@
                     continue;
                 }
                 let wants = std::mem::take(&mut i.wants);
-                let spread = i.spreads();
                 let plan = i.cluster.as_mut().map(|c| {
                     let here = c.here();
-                    c.fleet.listen(self.lag.now(), here, spread, &self.policy, now);
+                    c.fleet.listen(self.lag.now(), here, &self.policy, now);
                     (c.plan(&wants, now), here)
                 });
                 if let Some((_, here)) = &plan {
