--- a/packages/emulator/src/capacity/mod.rs
+++ b/packages/emulator/src/capacity/mod.rs
@@ -4,6 +4,7 @@
 pub mod bench;
 pub mod fit;
 mod page;
+mod plots;
 
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -30,13 +31,23 @@
     /// Where the page goes.
     #[arg(long, default_value = "docs/CAPACITY.md")]
     pub out: PathBuf,
+    /// A page with a plot of each slope as well.
+    #[arg(long)]
+    pub plots: Option<PathBuf>,
 }
 
 /// Writes the page.
 pub fn run(options: &Options) -> Result<(), Error> {
-    let text = page(&options.results)?;
-    let io = |error| Error::Io { what: options.out.display().to_string(), error };
-    fs::write(&options.out, text).map_err(io)
+    let results = Results::read(&options.results)?;
+    write(&options.out, &page::text(&results)?)?;
+    match &options.plots {
+        Some(file) => write(file, &plots::page(&results)?),
+        None => Ok(()),
+    }
+}
+
+fn write(file: &Path, text: &str) -> Result<(), Error> {
+    fs::write(file, text).map_err(|error| Error::Io { what: file.display().to_string(), error })
 }
 
 /// The page that the results of a directory give.
@@ -107,9 +118,8 @@
         self.phases(None).flat_map(|p| &p.regions).filter(|r| r.one_leader)
     }
 
-    fn fit(&self, at: fn(&RegionFigures) -> [f64; 2], value: fn(&RegionFigures) -> f64) -> Option<Fit> {
-        let points: Vec<Point> = self.regions().map(|r| Point { at: at(r), value: value(r) }).collect();
-        fit(&points)
+    fn points(&self, at: fn(&RegionFigures) -> [f64; 2], value: fn(&RegionFigures) -> f64) -> Vec<Point> {
+        self.regions().map(|r| Point { at: at(r), value: value(r) }).collect()
     }
 }
 
@@ -156,10 +166,18 @@
     pub unit: &'static str,
     /// Its variables.
     pub by: [&'static str; 2],
+    /// What it is fitted to.
+    pub points: Vec<Point>,
     /// The line.
     pub fit: Option<Fit>,
 }
 
+impl Slope {
+    fn new(name: &'static str, unit: &'static str, by: [&'static str; 2], points: Vec<Point>) -> Slope {
+        Slope { name, unit, by, fit: fit(&points), points }
+    }
+}
+
 /// All slopes, each from regions in quiet phases.
 #[derive(Debug)]
 pub struct Slopes {
@@ -213,9 +231,9 @@
 impl Slopes {
     /// The slopes that the results give.
     pub fn of(r: &Results) -> Slopes {
-        let size = |name, unit, value| Slope { name, unit, by: BY_SIZE, fit: r.fit(by_size, value) };
-        let message = |name, unit, value| Slope { name, unit, by: BY_MESSAGE, fit: r.fit(by_message, value) };
-        let task = |name, unit, value| Slope { name, unit, by: BY_TASK, fit: r.fit(by_task, value) };
+        let size = |name, unit, value| Slope::new(name, unit, BY_SIZE, r.points(by_size, value));
+        let message = |name, unit, value| Slope::new(name, unit, BY_MESSAGE, r.points(by_message, value));
+        let task = |name, unit, value| Slope::new(name, unit, BY_TASK, r.points(by_task, value));
         Slopes {
             reports: size("reports", "a second", |r| r.reports_per_s),
             direct: size("direct commands", "a second", |r| r.direct_per_s),
--- a/packages/emulator/src/capacity/tests.rs
+++ b/packages/emulator/src/capacity/tests.rs
@@ -61,6 +61,16 @@
     assert!(list.contains("leader: processor at the peak"), "{list}");
 }
 
+/// Each slope has its plot.
+#[test]
+fn each_slope_is_plotted() {
+    let r = results();
+    let page = plots::page(&r).expect("a page");
+    let slopes = Slopes::of(&r);
+    assert_eq!(page.matches("<svg").count(), slopes.all().len());
+    assert!(slopes.all().iter().all(|s| page.contains(s.name)));
+}
+
 /// A result that can't be read is named.
 #[test]
 fn unreadable_results_are_named() {
--- a/packages/emulator/src/page.rs
+++ b/packages/emulator/src/page.rs
@@ -12,7 +12,7 @@
 }
 
 /// A plot of lines: title, axes, and each line's name with its points.
-fn plot(title: &str, axes: (&str, &str), lines: &[(&str, Vec<(f64, f64)>)]) -> Result<String, Error> {
+pub(crate) fn plot(title: &str, axes: (&str, &str), lines: &[(&str, Vec<(f64, f64)>)]) -> Result<String, Error> {
     let most = |f: fn(&(f64, f64)) -> f64| lines.iter().flat_map(|l| l.1.iter().map(f)).fold(0.0f64, f64::max);
     let (x, y) = (most(|p| p.0).max(1e-9), most(|p| p.1).max(1e-9));
     let mut svg = String::new();
