Scale run: a list of closed zones that nobody read, and a function that only called another

The cloud's role kept the zones that it had closed beside the cloud, which knows them itself; world() passed its arguments to World::new. Both are gone, behaviour is the same.

--- a/packages/emulator/src/scale/role.rs
+++ b/packages/emulator/src/scale/role.rs
@@ -197,18 +197,6 @@
     }
 }
 
-/// A world in which nothing happens yet; each role uses its part of it.
-fn world(
-    state: State,
-    cloud: Cloud,
-    workers: WorkerPool,
-    controllers: Vec<Controller>,
-    report_s: f64,
-    rng: Rng,
-) -> Rc<World> {
-    World::new(state, cloud, workers, controllers, report_s, rng)
-}
-
 fn no_cloud() -> Cloud {
     Cloud::new(cloud::Settings {
         types: Vec::new(),
@@ -232,7 +220,7 @@
 ) -> Result<(), Error> {
     let mut rng = Rng::with_seed(0);
     let workers = no_workers(&mut rng);
-    let world = world(State::new(limits.limits()), no_cloud(), workers, Vec::new(), 1.0, rng);
+    let world = World::new(State::new(limits.limits()), no_cloud(), workers, Vec::new(), 1.0, rng);
     let (control, at) = listen(host).await?;
     let mut addresses = vec![at];
     for i in 0..listeners {
@@ -263,7 +251,6 @@
     client: Client,
     /// What is still to be told.
     events: RefCell<MachineEvents>,
-    closed: RefCell<Vec<Name>>,
 }
 
 async fn serve_cloud(
@@ -275,14 +262,8 @@
 ) -> Result<(), Error> {
     let mut rng = Rng::with_seed(seed);
     let none = no_workers(&mut rng);
-    let world = world(State::new(Limits::NONE), Cloud::new(settings), none, Vec::new(), 1.0, rng);
-    let role = Rc::new(CloudRole {
-        world,
-        workers,
-        client: Client::new(1),
-        events: RefCell::default(),
-        closed: RefCell::default(),
-    });
+    let world = World::new(State::new(Limits::NONE), Cloud::new(settings), none, Vec::new(), 1.0, rng);
+    let role = Rc::new(CloudRole { world, workers, client: Client::new(1), events: RefCell::default() });
     let (control, at) = listen(host).await?;
     let (on, service) = listen(host).await?;
     ready(&[at, service]);
@@ -378,13 +359,9 @@
 
     fn change_zone(&self, z: &ZoneChange) -> usize {
         self.world.cloud.borrow_mut().close_zone(&z.zone, z.closed);
-        let mut closed = self.closed.borrow_mut();
-        closed.retain(|c| *c != z.zone);
         if !z.closed {
             return 0;
         }
-        closed.push(z.zone.clone());
-        drop(closed);
         self.kill(usize::MAX, Some(&z.zone))
     }
 }
@@ -404,7 +381,7 @@
         let WorkerTimes { report_s, lease_s, gang_wait_s, gang_peer_s, .. } = self.times;
         let workers = WorkerPool::new(worker_pool::Settings { lease_s, gang_wait_s, gang_peer_s }, 1.0, rng.fork());
         let controllers = self.controllers.into_iter().map(|(name, addr)| Controller { name, addr }).collect();
-        let world = world(State::new(Limits::NONE), no_cloud(), workers, controllers, report_s, rng);
+        let world = World::new(State::new(Limits::NONE), no_cloud(), workers, controllers, report_s, rng);
         world.host.set(self.host);
         ex.spawn(world.clone().time(ex.clone())).detach();
         let (control, at) = listen(self.host).await?;
