--- a/review/standin/cluster.py
+++ b/review/standin/cluster.py
@@ -25,12 +25,13 @@
 DEFAULTS = {
     "rps": 200.0, "write_rps": 40.0, "value_kb": 16.0, "txn_ops": 24,
     "report_s": 3.0, "lease_s": 31.0, "gang_wait_s": 45.0, "gang_peer_s": 5.0, "cancel_s": 61.0,
-    "cloud_rps": 10.0, "list_lag_s": 2.0, "cores": 1.0, "ram_mb": 136.0, "fd_limit": 2500,
+    "zones": ZONES, "cloud_rps": 10.0, "list_lag_s": 2.0, "cores": 1.0, "ram_mb": 136.0, "fd_limit": 2500,
     "teams": [{"name": "equipe-forge", "cpus": 0.0, "cpus_max": 0.0, "gpus": 0.0, "gpus_max": 0.0}],
     "hulls": [{"label": "menhir-small", "cpus": 16.0, "accelerators": 2.0, "memGb": 64.0, "localGb": 200.0,
                "fetchGbPerS": 1.0, "hourly": 6.52, "lowPrice": 2.45, "bootS": 1.0, "bays": ZONES}],
     "capacity": {("menhir-small", ZONES[0], False): 1},
-    "run_s": lambda piece: None,
+    "run_s": lambda piece: None,  # seconds that a task runs; None: until it is stopped
+    "exit_cause": lambda piece: "done",
 }
 
 
@@ -90,14 +91,14 @@
 
     def file(self, node, peers, cloud):
         s = self.settings
-        text = f'host_name = "{self.names[node]}"\ndomain = "{ZONES[node]}"\n'
+        text = f'host_name = "{self.names[node]}"\ndomain = "{s["zones"][node]}"\n'
         text += f'bind = "127.0.0.1:{self.nodes[node]}"\npeer_bind = "127.0.0.1:{peers[node]}"\n'
         for other in range(3):
             if other != node:
-                text += (f'[[siblings]]\nhost_name = "{self.names[other]}"\ndomain = "{ZONES[other]}"\n'
+                text += (f'[[siblings]]\nhost_name = "{self.names[other]}"\ndomain = "{s["zones"][other]}"\n'
                          f'addr = "127.0.0.1:{self.peer_port(node, other, peers)}"\n')
         text += f'[services]\ncloud = "127.0.0.1:{cloud}"\nstate = "127.0.0.1:{self.state_ports[node]}"\n'
-        text += f'[deployment]\nsize = 3\nzones = {json.dumps(ZONES)}\nclock_error_ms = 1000.0\n'
+        text += f'[deployment]\nsize = 3\nzones = {json.dumps(s["zones"])}\nclock_error_ms = 1000.0\n'
         for team in s["teams"]:
             text += "[[deployment.teams]]\n" + "".join(f"{k} = {json.dumps(v)}\n" for k, v in team.items())
         for table, keys in (("workers", ("report_s", "lease_s", "gang_wait_s", "gang_peer_s", "cancel_s")),
--- a/review/standin/services.py
+++ b/review/standin/services.py
@@ -296,7 +296,7 @@
                     self.platform.note("running", piece=piece, machine=self.name)
                     self.wake.set()
                 elif state["stage"] == "running" and state["until"] is not None and now >= state["until"]:
-                    self.end(piece, "done")
+                    self.end(piece, self.platform.exit_cause(piece))
 
     async def report_loop(self):
         clients = [wire.Client(port) for port in self.platform.nodes]
@@ -338,6 +338,7 @@
         self.capacity = settings["capacity"]
         self.report_s, self.lease_s = settings["report_s"], settings["lease_s"]
         self.lag_s, self.run_s, self.note = settings["list_lag_s"], settings["run_s"], note
+        self.exit_cause = settings["exit_cause"]
         self.uploads, self.workers, self.rented, self.charters = {}, {}, {}, {}
         self.nodes, self.names = [], []
         self.started, self.ended = {}, {}
