--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,9 +12,9 @@
 import cluster  # noqa: E402
 import wire  # noqa: E402
 
-BUILDS = int(os.environ.get("BUILDS", 120))  # jobs that their users cancel
+BUILDS = int(os.environ.get("BUILDS", 140))  # jobs that their users cancel
 SIGNED = 21  # jobs that need all of these builds
-OUTAGE_S = 15.0
+OUTAGE_S = 12.0
 WAIT_S = 90.0  # bound of the rule
 REPEAT_S = 60.0  # for how long a user repeats a request
 
