Review: ports below those of connections

Cause: a port that was free when it was chosen could be given to a connection before the controller bound it.

Ports are now chosen below the range of connections.

--- a/review/standin/cluster.py
+++ b/review/standin/cluster.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import random
 import resource
 import shlex
 import signal
@@ -40,12 +41,17 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for s in sockets:
-        s.bind(("127.0.0.1", 0))
-    ports = [s.getsockname()[1] for s in sockets]
-    for s in sockets:
-        s.close()
+    """Returns ports that are free now and below those that the system gives to connections."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(20_000, 32_000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
