--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,7 +1,6 @@
-"""Two of fifty jobs of a class were submitted with a mistake and fail on every machine."""
+"""A spot machine is taken back; the job that ran on it then holds room that it can never use."""
 
 import asyncio
-import os
 import pathlib
 import sys
 import time
@@ -12,73 +11,70 @@
 import cluster  # noqa: E402
 import wire  # noqa: E402
 
-ZONES = ["kathmandu-a", "pokhara-b", "biratnagar-c", "lalitpur-d"]
-SERVICES = 6  # of two replicas each
-SWEEPS = 50  # jobs of the other class, the last two of them with a mistake (0.04)
-WITH_MISTAKE = [149, 150]
-SWEEP_S = 3.0  # run time of a sound task
-FAIL_S = 1.0  # run time of a task that fails
-WINDOW_S = 75.0
-PER_ZONE = int(os.environ.get("PER_ZONE", 1))  # machines that the cloud has in each zone
-HEAVY = {"label": "gandaki-heavy", "cpus": 96.0, "accelerators": 8.0, "memGb": 768.0, "localGb": 50.0,
-         "fetchGbPerS": 0.6, "hourly": 18.11, "lowPrice": 5.26, "bootS": 6.0, "bays": ZONES}
-LOOKUP = {"lane": "filing-lookup", "crew": "registry-desk-00", "shape": "standing", "rank": "production", "pieces": 2,
-          "cpus": 8.0, "accelerators": 1.0, "memGb": 58.0, "bundle": "lookup", "spread": True, "expectS": 0.0}
-SWEEP = {"lane": "deed-ocr-sweep", "crew": "registry-desk-01", "shape": "batch", "rank": "best_effort",
-         "cpus": 10.0, "accelerators": 1.0, "memGb": 72.0, "bundle": "sweep", "driftwood": True, "expectS": 70.0}
-TEAMS = [{"name": f"registry-desk-0{n}", "cpus": 0.0, "cpus_max": 0.0, "gpus": 0.0, "gpus_max": 0.0} for n in (0, 1)]
+WAIT_S = 90.0  # bound of the rule
+ORDINARY = ("menhir-small", cluster.ZONES[0], False)
+SPOT = ("menhir-small", cluster.ZONES[1], True)
 
-failing = set()
-
-
-def number_of(piece):
-    return int(piece.split("/")[0][2:])
+# the classes of the build farm, with the sizes of the brief
+READER = {"lane": "meter-reader", "shape": "standing", "rank": "production", "cpus": 5.0, "accelerators": 1.0,
+          "memGb": 19.0, "bundle": "reader", "spread": True, "driftwood": False, "expectS": 0.0}
+RETRAIN = {"lane": "model-retrain", "shape": "group", "rank": "high", "cpus": 14.0, "accelerators": 2.0,
+           "memGb": 51.0, "bundle": "retrain", "oneZone": True, "driftwood": True, "expectS": 120.0,
+           "markEveryS": 15.0, "markTakesS": 4.0}
+SNAPSHOT = {"lane": "ui-snapshots", "shape": "batch", "rank": "normal", "cpus": 6.0, "accelerators": 1.0,
+            "memGb": 24.0, "bundle": "snapshot", "driftwood": True, "expectS": 60.0, "markEveryS": 20.0,
+            "markTakesS": 2.0}
 
 
 async def case(c, trouble):
     platform = c.platform
+    if not await c.submit(c.job(1, **READER)):
+        raise cluster.CannotRun("the service was not accepted")
+    await c.until(lambda: "j-000001/0" in platform.started, 20, "the service runs")
+    if not await c.submit(c.job(2, **RETRAIN)):
+        raise cluster.CannotRun("the large job was not accepted")
+    await c.until(lambda: "j-000002/0" in platform.started, 20, "the large job runs")
+    keeper = next(w for w in platform.workers.values() if "j-000001/0" in w.pieces)
+    taken = next(w for w in platform.workers.values() if "j-000002/0" in w.pieces)
+    if keeper is taken or not taken.driftwood:
+        raise cluster.CannotRun("the large job is not alone on the spot machine")
+    poller = wire.Client(c.users)
 
-    def replicas():
-        return sum(1 for worker in platform.workers.values() for piece, state in worker.pieces.items()
-                   if number_of(piece) <= SERVICES and state["stage"] == "running")
-    jobs = [c.job(number, **LOOKUP) for number in range(1, SERVICES + 1)]
-    if not all(await asyncio.gather(*(c.submit(job) for job in jobs))):
-        raise cluster.CannotRun("the services were not accepted")
-    await c.until(lambda: replicas() == 2 * SERVICES, 30, "all replicas run")
-    sound = [c.job(number, **SWEEP) for number in range(101, 101 + SWEEPS - 2)]
-    for first in range(0, len(sound), 12):
-        if not all(await asyncio.gather(*(c.submit(job) for job in sound[first:first + 12]))):
-            raise cluster.CannotRun("the sweeps were not accepted")
-    await c.until(lambda: sum(1 for p in platform.ended if number_of(p) > 100) >= len(sound), 40, "the sweeps end")
-    await c.until(lambda: replicas() == 2 * SERVICES, 10, "all replicas run")
+    async def until_stage(stage, limit_s):
+        """Waits until four answers in a row name this stage: the stage may lag by up to 3 s."""
+        end, in_a_row = time.monotonic() + limit_s, 0
+        while in_a_row < 4:
+            if time.monotonic() > end:
+                raise cluster.CannotRun(f"the large job is not {stage}")
+            _, _, answer = await c.ask(poller, "GET", "/v2/runs/j-000002", None, 2.0)
+            in_a_row = in_a_row + 1 if isinstance(answer, dict) and answer.get("stage") == stage else 0
+            await asyncio.sleep(0.5)
 
+    await until_stage("running", 10)
     if trouble:
-        failing.update(WITH_MISTAKE)
-    c.note("TROUBLE: two jobs with a mistake" if trouble else "two more sound jobs", jobs=WITH_MISTAKE)
-    stops_before = sum(1 for ends in platform.ended.values() for _, cause in ends if cause == "stopped")
-    rented_before = platform.last
-    if not all(await asyncio.gather(*(c.submit(c.job(number, **SWEEP)) for number in WITH_MISTAKE))):
-        raise cluster.CannotRun("the last two sweeps were not accepted")
-    began, served, all_down = time.monotonic(), 0.0, 0.0
-    last = began
-    while time.monotonic() - began < WINDOW_S:
-        await asyncio.sleep(0.1)
-        now = time.monotonic()
-        served += replicas() * (now - last)
-        all_down += (now - last) if replicas() == 0 else 0.0
-        last = now
-    share = served / (2 * SERVICES * (last - began))
-    stops = sum(1 for ends in platform.ended.values() for _, cause in ends if cause == "stopped") - stops_before
-    c.note("summary", replica_time_served=round(share, 3), seconds_without_any_replica=round(all_down, 1),
-           tasks_stopped=stops, machines_rented=platform.last - rented_before)
-    if share >= 0.5:
-        return []
-    return [f"{share:.0%} of the replica time of filing-lookup was served for {WINDOW_S:.0f} s; "
-            f"{stops} tasks were stopped, {platform.last - rented_before} machines were rented anew"]
+        c.note("TROUBLE: the cloud takes the spot machine back, without notice", machine=taken.name)
+        platform.capacity[SPOT] = 0
+        platform.rented.pop(taken.name)
+        platform.workers.pop(taken.name)
+        taken.remove()
+        # the large job waits again, for a machine that the cloud does not have
+        await until_stage("pending", 20)
+    if not await c.submit(c.job(3, **SNAPSHOT)):
+        raise cluster.CannotRun("the small job was not accepted")
+    accepted_at = time.monotonic()
+    c.note("the small job is accepted", fits_on=keeper.name, free_cpus=16 - 5, free_gpus=2 - 1, free_gb=64 - 19)
+    while "j-000003/0" not in platform.started:
+        await asyncio.sleep(0.5)
+        if int(time.monotonic() * 2) % 10 == 0:
+            await c.ask(poller, "GET", "/v2/runs/j-000003", None, 2.0)
+        if keeper.gone or keeper.tenure != 1 or [p for p in keeper.pieces] != ["j-000001/0"]:
+            if "j-000003/0" not in platform.started:
+                raise cluster.CannotRun("the other machine did not stay as it was")
+        if time.monotonic() - accepted_at > WAIT_S:
+            return [f"j-000003 waited for {WAIT_S:.0f} s; {keeper.name} ran one task of 5 of 16 CPUs all this time"]
+    c.note("the small job starts", after_s=round(time.monotonic() - accepted_at, 1))
+    return []
 
 
-cluster.run(FOLDER, case, zones=ZONES, hulls=[HEAVY], teams=TEAMS,
-            capacity={("gandaki-heavy", zone, False): PER_ZONE for zone in ZONES},
-            report_s=3.0, lease_s=36.0, write_rps=80.0, ram_mb=200.0, cloud_rps=5.0,
-            run_s=lambda p: None if number_of(p) <= SERVICES else FAIL_S if number_of(p) in failing else SWEEP_S,
-            exit_cause=lambda p: "error" if number_of(p) in failing else "done")
+cluster.run(FOLDER, case, capacity={ORDINARY: 1, SPOT: 1},
+            teams=[{"name": "equipe-forge", "cpus": 0.0, "cpus_max": 0.0, "gpus": 8.0, "gpus_max": 16.0}])
