--- a/review/lab/lab.py
+++ b/review/lab/lab.py
@@ -51,11 +51,12 @@
 
 class Lab:
     def __init__(self, folder, zones, hulls, capacity, teams, objectives=(), report_s=3.0, lease_s=31.0, cancel_s=61.0,
-                 rps=200.0, write_rps=40.0, value_kb=16.0, txn_ops=24, cloud_rps=10.0, list_lag_s=5.0, size=3):
+                 rps=200.0, write_rps=40.0, value_kb=16.0, txn_ops=24, limits_next=None, cloud_rps=10.0, list_lag_s=5.0, size=3):
         self.began = time.monotonic()
         self.out = open(os.path.join(folder, "record.txt"), "w")
         self.times = {"report_s": report_s, "lease_s": lease_s, "gang_wait_s": 45.0, "gang_peer_s": 5.0, "cancel_s": cancel_s}
         self.limits = {"rps": rps, "write_rps": write_rps, "value_kb": value_kb, "txn_ops": txn_ops}
+        self.limits_next = limits_next or {}
         self.zones, self.teams, self.objectives, self.hulls = zones, teams, objectives, hulls
         self.names = ["reef-%d" % i for i in range(size)]
         self.ports = {n: (free_port(), free_port()) for n in self.names}
@@ -89,6 +90,8 @@
             lines += ["[[deployment.objectives]]"] + ["%s = %s" % (k, q(v) if isinstance(v, str) else v) for k, v in o.items()]
         lines += ["[deployment.workers]"] + ["%s = %s" % kv for kv in self.times.items()]
         lines += ["[deployment.state]"] + ["%s = %s" % kv for kv in self.limits.items()]
+        if self.limits_next:
+            lines += ["[deployment.state.next]"] + ["%s = %s" % kv for kv in self.limits_next.items()]
         lines += ["[deployment.cloud]", "rps = %s" % self.cloud_rps, "list_lag_s = %s" % self.list_lag_s,
                   "[deployment.quota]", "cores = 0.32", "ram_mb = 200.0", "fd_limit = 2500"]
         path = os.path.join(self.dir.name, name + ".toml")
--- a/review/lab/services.py
+++ b/review/lab/services.py
@@ -33,6 +33,11 @@
         self.counts = {"requests": 0, "429": 0, "writes": 0}
         self.record, self.outage = record, False
 
+    def lower(self, limits):
+        """From now on the service has these limits; what is stored stays readable."""
+        self.value_kb, self.txn_ops = limits["value_kb"], limits["txn_ops"]
+        self.writes = Bucket(limits["write_rps"])
+
     async def start(self):
         self.server, self.port = await serve(self.handle)
         self.reaper = asyncio.ensure_future(self.reap())
@@ -214,7 +219,8 @@
         if m is None:
             return
         key = (m["hull"], m["bay"], m["driftwood"])
-        self.capacity[key] = self.capacity.get(key, 0)
+        if key in self.capacity:  # a pool that the case has given room
+            self.capacity[key] += 1
         self.on_gone(name)
 
     async def handle(self, method, path, q, body):
